--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# make demo: install, build, serve requests through separate processes on loopback.
+# make test: install, build, run all tests.
+.PHONY: demo test build packages format format-check lint clean
+
+build: packages
+	cmake --preset release > /dev/null
+	cmake --build --preset release
+
+packages:
+	@bash scripts/install-packages.sh
+
+demo: build
+	bash scripts/demo.sh build
+
+test: build
+	ctest --preset release -j 4
+
+format:
+	git ls-files '*.cc' '*.h' | xargs clang-format -i
+
+format-check:
+	git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
+
+lint: build
+	git ls-files 'src/*.cc' 'tests/*.cc' 'bench/*.cc' | xargs -P "$$(nproc)" -n 4 clang-tidy -p build --quiet
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/src/client/caller_flow.cc
@@ -0,0 +1,248 @@
+#include "client/caller_flow.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lugfork {
+
+CallerFlow::CallerFlow(CallerSettings settings, CallRequest request, FlowId flow,
+                       const TimeSource& time_source, RandomGenerator& random,
+                       CallerOutputs& outputs)
+    : settings_(settings),
+      request_(std::move(request)),
+      time_source_(time_source),
+      random_(random),
+      outputs_(outputs),
+      key_{flow, 0} {}
+
+void CallerFlow::start() {
+  started_at_ = time_source_.monotonicTime();
+  beginAttempt();
+}
+
+void CallerFlow::onDatagram(const Datagram& datagram) {
+  if (state_ == State::Ended) {
+    return;
+  }
+  std::visit([this](const auto& body) { handle(body); }, datagram);
+}
+
+void CallerFlow::onTick() {
+  if (state_ == State::Ended) {
+    return;
+  }
+  const MonotonicTime now = time_source_.monotonicTime();
+  if (deadlinePassed(now)) {
+    cancel();
+    return;
+  }
+  if (state_ == State::BackingOff) {
+    if (now >= retry_at_) {
+      beginAttempt();
+    }
+    return;
+  }
+  if (state_ == State::Opening && now - attempt_started_at_ >= settings_.open_timeout) {
+    retryOrEnd(CallResult::NotRun, Duration::zero());
+    return;
+  }
+  if (state_ == State::Active && now - last_heard_at_ >= settings_.idle_timeout) {
+    onAttemptBroken(Reason::None, Duration::zero());
+    return;
+  }
+  if (now >= next_resend_at_) {
+    resend_interval_ = std::min(2 * resend_interval_, settings_.resend_interval_max);
+    next_resend_at_ = now + resend_interval_;
+    if (state_ == State::Opening) {
+      sendOpen();
+    } else {
+      next_to_send_ = next_unconfirmed_;
+      sendWindow();
+    }
+  }
+  if (state_ == State::Active && now >= next_keepalive_at_) {
+    sendAnswerAck();
+  }
+}
+
+void CallerFlow::cancel() {
+  if (state_ == State::Active) {
+    outputs_.sendToService(Cancel{request_.service, key_, token_});
+  }
+  end(CallResult::DeadlineExceeded);
+}
+
+void CallerFlow::handle(const Placed& placed) {
+  // A second placement of the same attempt is ignored: one attempt uses one token.
+  if (state_ == State::Opening && placed.key == key_) {
+    activate(placed.token);
+  }
+}
+
+void CallerFlow::handle(const DataAck& ack) {
+  if (state_ != State::Active || ack.key != key_) {
+    return;
+  }
+  last_heard_at_ = time_source_.monotonicTime();
+  if (ack.next_expected <= next_unconfirmed_ || ack.next_expected > pieces_.size()) {
+    return;
+  }
+  next_unconfirmed_ = ack.next_expected;
+  next_to_send_ = std::max(next_to_send_, next_unconfirmed_);
+  resend_interval_ = settings_.resend_interval;
+  next_resend_at_ = last_heard_at_ + resend_interval_;
+  sendWindow();
+}
+
+void CallerFlow::handle(const Answer& answer) {
+  if (state_ != State::Active || answer.key != key_) {
+    return;
+  }
+  last_heard_at_ = time_source_.monotonicTime();
+  next_unconfirmed_ = static_cast<std::uint32_t>(pieces_.size());
+  next_to_send_ = next_unconfirmed_;
+  if (answer.sequence >= next_answer_piece_) {
+    answers_ahead_.emplace(answer.sequence, answer);
+  }
+  if (answer.last) {
+    last_answer_piece_ = answer.sequence;
+  }
+  deliverInOrder();
+  if (last_answer_piece_ && next_answer_piece_ > *last_answer_piece_) {
+    sendAnswerAck();
+    end(CallResult::Whole);
+  } else if (next_answer_piece_ % settings_.window == 0) {
+    sendAnswerAck();
+  }
+}
+
+void CallerFlow::handle(const Refused& refused) {
+  const bool awaiting = state_ == State::Opening || state_ == State::Active;
+  if (!awaiting || refused.key != key_) {
+    return;
+  }
+  last_reason_ = refused.reason;
+  const bool attempts_left =
+      attempts_ < settings_.max_attempts && key_.attempt < std::numeric_limits<std::uint8_t>::max();
+  if (!refused.replacement.empty() && attempts_left) {
+    ++attempts_;
+    ++key_.attempt;
+    pieces_ = request_.make_pieces(next_answer_piece_);
+    activate(refused.replacement);
+    return;
+  }
+  retryOrEnd(CallResult::NotRun, milliseconds(refused.retry_after_ms));
+}
+
+void CallerFlow::handle(const Reset& reset) {
+  if (state_ == State::Active && reset.key == key_) {
+    onAttemptBroken(reset.reason, milliseconds(reset.retry_after_ms));
+  }
+}
+
+void CallerFlow::beginAttempt() {
+  if (attempts_ > 0) {
+    ++key_.attempt;
+  }
+  ++attempts_;
+  state_ = State::Opening;
+  pieces_ = request_.make_pieces(next_answer_piece_);
+  attempt_started_at_ = time_source_.monotonicTime();
+  resend_interval_ = settings_.resend_interval;
+  next_resend_at_ = attempt_started_at_ + resend_interval_;
+  sendOpen();
+}
+
+void CallerFlow::activate(const TokenBytes& token) {
+  const MonotonicTime now = time_source_.monotonicTime();
+  state_ = State::Active;
+  token_ = token;
+  next_unconfirmed_ = 0;
+  next_to_send_ = 0;
+  answers_ahead_.clear();
+  last_answer_piece_.reset();
+  last_heard_at_ = now;
+  resend_interval_ = settings_.resend_interval;
+  next_resend_at_ = now + resend_interval_;
+  next_keepalive_at_ = now + settings_.keepalive_interval;
+  sendWindow();
+}
+
+void CallerFlow::sendOpen() {
+  outputs_.sendToService(Open{request_.service, key_});
+}
+
+void CallerFlow::sendWindow() {
+  const auto piece_count = static_cast<std::uint32_t>(pieces_.size());
+  const std::uint32_t end = std::min(piece_count, next_unconfirmed_ + settings_.window);
+  for (; next_to_send_ < end; ++next_to_send_) {
+    const bool last = next_to_send_ + 1 == piece_count;
+    outputs_.sendToService(Data{request_.service, key_, token_, next_to_send_, last,
+                                remainingDeadlineMilliseconds(), pieces_[next_to_send_]});
+  }
+}
+
+void CallerFlow::sendAnswerAck() {
+  next_keepalive_at_ = time_source_.monotonicTime() + settings_.keepalive_interval;
+  outputs_.sendToService(AnswerAck{request_.service, key_, token_, next_answer_piece_});
+}
+
+void CallerFlow::deliverInOrder() {
+  auto piece = answers_ahead_.find(next_answer_piece_);
+  while (piece != answers_ahead_.end()) {
+    outputs_.onAnswerPiece(piece->second);
+    answers_ahead_.erase(piece);
+    ++next_answer_piece_;
+    piece = answers_ahead_.find(next_answer_piece_);
+  }
+}
+
+void CallerFlow::onAttemptBroken(Reason reason, Duration retry_after) {
+  ++breaks_;
+  last_reason_ = reason;
+  if (!request_.may_repeat) {
+    end(CallResult::Unknown);
+    return;
+  }
+  retryOrEnd(CallResult::Unknown, retry_after);
+}
+
+void CallerFlow::retryOrEnd(CallResult result, Duration retry_after) {
+  retry_after_ = retry_after;
+  const Duration wait = std::max(retry_after, backoff());
+  retry_at_ = time_source_.monotonicTime() + wait;
+  const bool attempts_left =
+      attempts_ < settings_.max_attempts && key_.attempt < std::numeric_limits<std::uint8_t>::max();
+  if (!attempts_left || deadlinePassed(retry_at_)) {
+    end(result);
+    return;
+  }
+  state_ = State::BackingOff;
+}
+
+void CallerFlow::end(CallResult result) {
+  state_ = State::Ended;
+  result_ = result;
+}
+
+Duration CallerFlow::backoff() {
+  const std::uint32_t doublings = std::min(attempts_, 10U);
+  const Duration ceiling =
+      std::min(settings_.backoff_max, settings_.backoff_base * (1U << doublings));
+  return Duration(static_cast<std::int64_t>(static_cast<double>(ceiling.count()) * random_.unit()));
+}
+
+bool CallerFlow::deadlinePassed(MonotonicTime time) const {
+  return request_.deadline > Duration::zero() && time >= started_at_ + request_.deadline;
+}
+
+std::uint32_t CallerFlow::remainingDeadlineMilliseconds() const {
+  if (request_.deadline == Duration::zero()) {
+    return 0;
+  }
+  const Duration remaining = started_at_ + request_.deadline - time_source_.monotonicTime();
+  const auto whole = std::chrono::duration_cast<milliseconds>(remaining).count();
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(1, whole));
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/common/result.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <boost/outcome.hpp>
+
+namespace lugfork {
+
+namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
+
+/** Value or typed error. Each layer has an error type of its own. */
+template <typename Value, typename Error>
+using Result = outcome::unchecked<Value, Error>;
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/common/time_source.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace lugfork {
+
+/** Resolution of all times in the core. */
+using Duration = std::chrono::microseconds;
+
+/** Time on a clock that never goes back; only differences have a meaning. */
+using MonotonicTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/** Time since the Unix epoch; comparable between machines within the clock skew. */
+using SystemTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Source of time for the core; the daemon gives real clocks, the simulator virtual ones. */
+class TimeSource {
+ public:
+  virtual ~TimeSource() = default;
+
+  /** @return the time of the monotonic clock. */
+  virtual MonotonicTime monotonicTime() const = 0;
+
+  /** @return the wall-clock time. */
+  virtual SystemTime systemTime() const = 0;
+};
+
+/** TimeSource over the clocks of the operating system. */
+class RealTimeSource : public TimeSource {
+ public:
+  MonotonicTime monotonicTime() const override {
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  }
+  SystemTime systemTime() const override {
+    return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+  }
+};
+
+/** @return the whole milliseconds since the Unix epoch. */
+inline std::uint64_t toUnixMilliseconds(SystemTime time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count());
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/config/configuration.cc
@@ -0,0 +1,78 @@
+#include "config/configuration.h"
+
+#include <algorithm>
+
+namespace lugfork {
+
+namespace {
+
+template <typename Map, typename Key>
+auto findOrNull(const Map& map, const Key& key) -> typename Map::mapped_type {
+  const auto found = map.find(key);
+  return found == map.end() ? nullptr : found->second;
+}
+
+}  // namespace
+
+bool Service::allowsZone(ZoneId zone) const {
+  return std::find(allowed_zones.begin(), allowed_zones.end(), zone) != allowed_zones.end();
+}
+
+ConfigurationView::ConfigurationView(Configuration configuration)
+    : document_(std::move(configuration)) {
+  for (const Zone& zone : document_.zones) {
+    zones_[zone.id] = &zone;
+  }
+  for (const Service& service : document_.services) {
+    services_[service.id] = &service;
+    services_by_address_[service.address] = &service;
+  }
+  for (const Backend& backend : document_.backends) {
+    backends_[backend.id] = &backend;
+    backends_by_address_[backend.address] = &backend;
+    backends_by_service_[backend.service].push_back(&backend);
+  }
+  for (const TokenKey& key : document_.keys) {
+    keys_[key.id] = &key;
+    if (key.seals) {
+      sealing_key_ = &key;
+    }
+  }
+}
+
+const Service* ConfigurationView::serviceAt(Endpoint address) const {
+  return findOrNull(services_by_address_, address);
+}
+
+const Service* ConfigurationView::service(ServiceId id) const {
+  return findOrNull(services_, id);
+}
+
+const Backend* ConfigurationView::backend(BackendId id) const {
+  return findOrNull(backends_, id);
+}
+
+const Backend* ConfigurationView::backendAt(Endpoint address) const {
+  return findOrNull(backends_by_address_, address);
+}
+
+const Zone* ConfigurationView::zoneNamed(const std::string& name) const {
+  const auto found = std::find_if(document_.zones.begin(), document_.zones.end(),
+                                  [&](const Zone& zone) { return zone.name == name; });
+  return found == document_.zones.end() ? nullptr : &*found;
+}
+
+const Zone* ConfigurationView::zone(ZoneId id) const {
+  return findOrNull(zones_, id);
+}
+
+const TokenKey* ConfigurationView::key(KeyId id) const {
+  return findOrNull(keys_, id);
+}
+
+const std::vector<const Backend*>& ConfigurationView::backendsOf(ServiceId service) const {
+  const auto found = backends_by_service_.find(service);
+  return found == backends_by_service_.end() ? no_backends_ : found->second;
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/flow/flow_counters.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "wire/codec_error.h"
+#include "wire/datagram.h"
+
+namespace lugfork {
+
+inline constexpr std::size_t kReasonCount = static_cast<std::size_t>(Reason::Last) + 1;
+inline constexpr std::size_t kCodecErrorCount = static_cast<std::size_t>(CodecError::BadField) + 1;
+
+/** Counts of the data path since the start of the process. */
+struct FlowCounters {
+  std::uint64_t placements = 0;
+  std::uint64_t replacements = 0;
+  std::uint64_t forwards = 0;
+  std::uint64_t forwards_continue_only = 0;
+  /** Datagrams whose token is newer than the configuration in force; dropped, callers resend. */
+  std::uint64_t drops_configuration_behind = 0;
+  /** Datagrams of a type that a balancer does not take. */
+  std::uint64_t drops_unexpected_type = 0;
+  std::array<std::uint64_t, kCodecErrorCount> drops_by_codec_error{};
+  std::array<std::uint64_t, kReasonCount> refusals_by_reason{};
+  std::array<std::uint64_t, kReasonCount> resets_by_reason{};
+};
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/flow/flow_router.cc
@@ -0,0 +1,244 @@
+#include "flow/flow_router.h"
+
+#include <limits>
+
+#include "wire/datagram_codec.h"
+
+namespace lugfork {
+
+namespace {
+
+std::uint32_t toMilliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+/** Refusals after which another back end may take the request at once. */
+bool mayPlaceAgainAfter(Reason reason) {
+  return reason == Reason::Overloaded || reason == Reason::Draining ||
+         reason == Reason::PlacementExpired;
+}
+
+}  // namespace
+
+FlowRouter::FlowRouter(FlowRouterSettings settings, const TimeSource& time_source,
+                       DatagramSender& sender, PlacementEngine& placement, BackendLoadTable& loads,
+                       FlowRouterHost& host)
+    : settings_(settings),
+      time_source_(time_source),
+      sender_(sender),
+      placement_(placement),
+      loads_(loads),
+      host_(host) {}
+
+void FlowRouter::setConfiguration(ConfigurationViewPtr configuration) {
+  placement_.setConfiguration(configuration);
+  configuration_ = std::move(configuration);
+}
+
+void FlowRouter::onDatagram(std::span<const std::uint8_t> bytes, Endpoint from) {
+  const auto decoded = decodeDatagram(bytes);
+  if (!decoded) {
+    ++counters_.drops_by_codec_error[static_cast<std::size_t>(decoded.error())];
+    return;
+  }
+  if (const auto* sprayed = std::get_if<Sprayed>(&decoded.value())) {
+    onCallerDatagram(sprayed->datagram, sprayed->caller);
+  } else if (const auto* refusal = std::get_if<BackendRefusal>(&decoded.value())) {
+    onBackendRefusal(*refusal, from);
+  } else {
+    onCallerDatagram(bytes, from);
+  }
+}
+
+void FlowRouter::onCallerDatagram(std::span<const std::uint8_t> bytes, Endpoint caller) {
+  const auto decoded = decodeDatagram(bytes);
+  if (!decoded) {
+    ++counters_.drops_by_codec_error[static_cast<std::size_t>(decoded.error())];
+    return;
+  }
+  const Datagram& datagram = decoded.value();
+  if (const auto* open = std::get_if<Open>(&datagram)) {
+    onOpen(*open, caller);
+  } else if (const auto* data = std::get_if<Data>(&datagram)) {
+    relay(*data, bytes, caller);
+  } else if (const auto* ack = std::get_if<AnswerAck>(&datagram)) {
+    relay(*ack, bytes, caller);
+  } else if (const auto* cancel = std::get_if<Cancel>(&datagram)) {
+    relay(*cancel, bytes, caller);
+  } else {
+    ++counters_.drops_unexpected_type;
+  }
+}
+
+void FlowRouter::onOpen(const Open& open, Endpoint caller) {
+  const Reason blocked_by = host_.placementBlockedBy();
+  if (blocked_by != Reason::None || configuration_ == nullptr) {
+    const Reason reason = blocked_by == Reason::None ? Reason::Joining : blocked_by;
+    refuse(caller, open.key, reason, settings_.retry_after);
+    return;
+  }
+  const Service* service = configuration_->serviceAt(open.service);
+  if (service == nullptr) {
+    refuse(caller, open.key, Reason::UnknownService, settings_.retry_after);
+    return;
+  }
+  const auto placed = placement_.place(*service, open.key.flow);
+  if (!placed) {
+    refuse(caller, open.key, placed.error().reason, placed.error().retry_after);
+    return;
+  }
+  ++counters_.placements;
+  sender_.sendDatagram(caller,
+                       Placed{open.key, sealPlacement(open.key, *service, *placed.value())});
+}
+
+template <typename TokenDatagram>
+void FlowRouter::relay(const TokenDatagram& datagram, std::span<const std::uint8_t> bytes,
+                       Endpoint caller) {
+  if (configuration_ == nullptr) {
+    ++counters_.drops_configuration_behind;
+    return;
+  }
+  const auto opened = openToken(datagram.token, datagram.key, *configuration_);
+  if (!opened) {
+    onTokenError(opened.error(), datagram.key, caller);
+    return;
+  }
+  const Placement& placement = opened.value();
+  if (placement.config_version > configuration_->version()) {
+    host_.onNewerConfigurationSeen(placement.config_version);
+  }
+  const Service* service = configuration_->service(placement.service);
+  if (service == nullptr && placement.config_version > configuration_->version()) {
+    ++counters_.drops_configuration_behind;
+    return;
+  }
+  if (service == nullptr || service->address != datagram.service) {
+    reset(caller, datagram.key, Reason::TokenForOtherService);
+    return;
+  }
+  const auto destination = resolveBackend(placement, *service);
+  if (!destination) {
+    reset(caller, datagram.key, destination.error());
+    return;
+  }
+  const ForwardMode mode = forwardModeOf(placement);
+  ++(mode == ForwardMode::MayStart ? counters_.forwards : counters_.forwards_continue_only);
+  sender_.sendDatagram(destination.value(), Forward{caller, placement.backend, placement.service,
+                                                    mode, Bytes(bytes.begin(), bytes.end())});
+}
+
+void FlowRouter::onTokenError(TokenError error, const FlowKey& key, Endpoint caller) {
+  if (error == TokenError::UnknownKey) {
+    // The key may come with a configuration that has not arrived here yet.
+    ++counters_.drops_configuration_behind;
+    host_.onNewerConfigurationSeen(ConfigVersion(configuration_->version().value() + 1));
+    return;
+  }
+  reset(caller, key, Reason::TokenInvalid);
+}
+
+Result<Endpoint, Reason> FlowRouter::resolveBackend(const Placement& placement,
+                                                    const Service& service) {
+  if (!service.allowsZone(placement.zone)) {
+    return Reason::ZoneNotAllowed;
+  }
+  const Backend* declared = configuration_->backend(placement.backend);
+  if (declared != nullptr) {
+    const bool same_place = declared->service == placement.service &&
+                            declared->zone == placement.zone &&
+                            declared->address == placement.backend_address;
+    if (!same_place) {
+      return Reason::BackendGone;
+    }
+    return declared->address;
+  }
+  // Not declared here, or no longer: established flows go on unless another back end has the
+  // address now. The back end itself checks its id as well.
+  if (configuration_->backendAt(placement.backend_address) != nullptr) {
+    return Reason::BackendGone;
+  }
+  return placement.backend_address;
+}
+
+ForwardMode FlowRouter::forwardModeOf(const Placement& placement) const {
+  const Duration age = time_source_.systemTime() - placement.placed_at;
+  return age <= settings_.placement_lifetime ? ForwardMode::MayStart : ForwardMode::ContinueOnly;
+}
+
+void FlowRouter::onBackendRefusal(const BackendRefusal& refusal, Endpoint from) {
+  const Backend* backend =
+      configuration_ == nullptr ? nullptr : configuration_->backend(refusal.backend);
+  if (backend != nullptr && backend->address == from) {
+    learnFromRefusal(refusal);
+  }
+  relayRefusal(refusal);
+}
+
+void FlowRouter::learnFromRefusal(const BackendRefusal& refusal) {
+  if (refusal.reason == Reason::Draining) {
+    loads_.onDrainingSeen(refusal.backend);
+    placement_.invalidateCandidates();
+    host_.onBackendDraining(refusal.backend);
+  } else if (refusal.reason == Reason::Overloaded) {
+    loads_.onRefusal(refusal.backend, milliseconds(refusal.retry_after_ms));
+    placement_.invalidateCandidates();
+  }
+}
+
+void FlowRouter::relayRefusal(const BackendRefusal& refusal) {
+  if (!refusal.not_run) {
+    reset(refusal.caller, refusal.key, refusal.reason);
+    return;
+  }
+  TokenBytes replacement;
+  const Service* service =
+      configuration_ == nullptr ? nullptr : configuration_->service(refusal.service);
+  if (service != nullptr && mayPlaceAgainAfter(refusal.reason)) {
+    replacement = placeAgain(refusal, *service);
+  }
+  refuse(refusal.caller, refusal.key, refusal.reason, milliseconds(refusal.retry_after_ms),
+         std::move(replacement));
+}
+
+TokenBytes FlowRouter::placeAgain(const BackendRefusal& refusal, const Service& service) {
+  const bool attempts_left = refusal.key.attempt < std::numeric_limits<std::uint8_t>::max();
+  if (!attempts_left || host_.placementBlockedBy() != Reason::None) {
+    return {};
+  }
+  const auto placed = placement_.place(service, refusal.key.flow, refusal.backend);
+  if (!placed) {
+    return {};
+  }
+  ++counters_.replacements;
+  FlowKey next_attempt = refusal.key;
+  ++next_attempt.attempt;
+  return sealPlacement(next_attempt, service, *placed.value());
+}
+
+TokenBytes FlowRouter::sealPlacement(const FlowKey& key, const Service& service,
+                                     const Backend& backend) {
+  Placement placement;
+  placement.key = key;
+  placement.service = service.id;
+  placement.backend = backend.id;
+  placement.zone = backend.zone;
+  placement.backend_address = backend.address;
+  placement.config_version = configuration_->version();
+  placement.placed_at = time_source_.systemTime();
+  return sealToken(placement, *configuration_->sealingKey());
+}
+
+void FlowRouter::refuse(Endpoint caller, const FlowKey& key, Reason reason, Duration retry_after,
+                        TokenBytes replacement) {
+  ++counters_.refusals_by_reason[static_cast<std::size_t>(reason)];
+  sender_.sendDatagram(caller,
+                       Refused{key, reason, toMilliseconds(retry_after), std::move(replacement)});
+}
+
+void FlowRouter::reset(Endpoint caller, const FlowKey& key, Reason reason) {
+  ++counters_.resets_by_reason[static_cast<std::size_t>(reason)];
+  sender_.sendDatagram(caller, Reset{key, reason, toMilliseconds(settings_.retry_after)});
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/flow/flow_router.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <span>
+
+#include "common/random_generator.h"
+#include "common/time_source.h"
+#include "config/configuration.h"
+#include "flow/flow_counters.h"
+#include "flow/placement_engine.h"
+#include "flow/token.h"
+#include "wire/datagram.h"
+
+namespace lugfork {
+
+/** Sends datagrams of the data path. */
+class DatagramSender {
+ public:
+  virtual ~DatagramSender() = default;
+  virtual void sendDatagram(Endpoint destination, const Datagram& datagram) = 0;
+};
+
+/** What the data path asks of, and tells, the rest of the node. */
+class FlowRouterHost {
+ public:
+  virtual ~FlowRouterHost() = default;
+
+  /** @return Reason::None if this node may place new flows now, else why not. */
+  virtual Reason placementBlockedBy() const = 0;
+
+  /** A token shows that a newer configuration is in force elsewhere. */
+  virtual void onNewerConfigurationSeen(ConfigVersion version) = 0;
+
+  /** A back end said in a refusal that it is leaving. */
+  virtual void onBackendDraining(BackendId backend) = 0;
+};
+
+/** Tunables of the data path. */
+struct FlowRouterSettings {
+  /** Time after a placement in which its token may start work. */
+  Duration placement_lifetime = seconds(3);
+  /** Time that callers are told to wait when this node can't place. */
+  Duration retry_after = seconds(1);
+};
+
+/**
+ * The data path of a balancer. Keeps no state for a flow: everything that it needs stands in the
+ * datagram's token and in the configuration in force.
+ */
+class FlowRouter {
+ public:
+  FlowRouter(FlowRouterSettings settings, const TimeSource& time_source, DatagramSender& sender,
+             PlacementEngine& placement, BackendLoadTable& loads, FlowRouterHost& host);
+
+  void setConfiguration(ConfigurationViewPtr configuration);
+
+  /**
+   * Handles one datagram from a caller, the fabric or a back end.
+   * @param from the sender's address; stands for the caller where the fabric gives none.
+   */
+  void onDatagram(std::span<const std::uint8_t> bytes, Endpoint from);
+
+  const FlowCounters& counters() const { return counters_; }
+
+ private:
+  void onCallerDatagram(std::span<const std::uint8_t> bytes, Endpoint caller);
+  void onOpen(const Open& open, Endpoint caller);
+  void onBackendRefusal(const BackendRefusal& refusal, Endpoint from);
+
+  /** Updates the view of the back end; only for refusals that come from its own address. */
+  void learnFromRefusal(const BackendRefusal& refusal);
+
+  /** Gives the caller its final answer at once, with a new placement where there is one. */
+  void relayRefusal(const BackendRefusal& refusal);
+
+  /** Handles any datagram that carries a token: checks it, then forwards the bytes as they are. */
+  template <typename TokenDatagram>
+  void relay(const TokenDatagram& datagram, std::span<const std::uint8_t> bytes, Endpoint caller);
+
+  void onTokenError(TokenError error, const FlowKey& key, Endpoint caller);
+
+  /** @return where to forward, or Reason of the reset that the placement calls for. */
+  Result<Endpoint, Reason> resolveBackend(const Placement& placement, const Service& service);
+
+  ForwardMode forwardModeOf(const Placement& placement) const;
+  TokenBytes placeAgain(const BackendRefusal& refusal, const Service& service);
+  TokenBytes sealPlacement(const FlowKey& key, const Service& service, const Backend& backend);
+  void refuse(Endpoint caller, const FlowKey& key, Reason reason, Duration retry_after,
+              TokenBytes replacement = {});
+  void reset(Endpoint caller, const FlowKey& key, Reason reason);
+
+  const FlowRouterSettings settings_;
+  const TimeSource& time_source_;
+  DatagramSender& sender_;
+  PlacementEngine& placement_;
+  BackendLoadTable& loads_;
+  FlowRouterHost& host_;
+  ConfigurationViewPtr configuration_;
+  FlowCounters counters_;
+};
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/programs/lugforkd.cc
@@ -0,0 +1,76 @@
+/** lugforkd: the balancer daemon. */
+
+#include "config/toml_settings.h"
+#include "runtime/json_event_log.h"
+#include "runtime/node_daemon.h"
+#include "runtime/program.h"
+
+namespace lugfork {
+namespace {
+
+void addNodeOptions(CLI::App& app, NodeDaemonSettings& settings) {
+  NodeSettings& node = settings.node;
+  app.add_option("--name", node.name, "this node's name, unique in the fleet")->required();
+  app.add_option("--zone", node.zone, "zone that this node runs in")->required();
+  addEndpointOption(app, "--data-address", settings.data_address, "data path (UDP)")->required();
+  addEndpointOption(app, "--peer-address", node.peer_address, "peer messages (ZeroMQ, TCP)")
+      ->required();
+  addEndpointOption(app, "--api-address", settings.api_address, "resource API (HTTP)")->required();
+  addEndpointListOption(app, "--platform", settings.platform_addresses,
+                        "platform's configuration service, one or more")
+      ->required();
+}
+
+void addTunables(CLI::App& app, NodeDaemonSettings& settings) {
+  NodeSettings& node = settings.node;
+  app.add_option("--placement-policy", node.placement_policy, "how new flows are placed")
+      ->check(CLI::IsMember(placementPolicyNames()))
+      ->capture_default_str();
+  addMillisecondsOption(app, "--gossip-interval", node.gossip_interval, milliseconds(50),
+                        milliseconds(60000), "time between two messages to peers");
+  addMillisecondsOption(app, "--platform-interval", node.platform_interval, milliseconds(50),
+                        milliseconds(600000), "time between two reads of the platform");
+  addMillisecondsOption(app, "--probe-interval", node.probe_interval, milliseconds(50),
+                        milliseconds(60000), "time between two probes of a back end");
+  addMillisecondsOption(app, "--placement-lifetime", node.flow.placement_lifetime,
+                        milliseconds(100), milliseconds(60000),
+                        "time after a placement in which its token may start work");
+  addMillisecondsOption(app, "--leave-minimum", settings.leave_minimum, milliseconds(0),
+                        milliseconds(600000), "shortest time of relaying before a planned stop");
+  addMillisecondsOption(app, "--leave-maximum", settings.leave_maximum, milliseconds(0),
+                        milliseconds(3600000), "longest time of relaying before a planned stop");
+}
+
+void addLogOptions(CLI::App& app, LogSettings& log) {
+  const std::vector<std::string> levels = {"debug", "info", "warn", "error"};
+  app.add_option("--log-level", log.level, "lowest level that is logged")
+      ->check(CLI::IsMember(levels))
+      ->capture_default_str();
+}
+
+int run(int argc, char** argv) {
+  CLI::App app("lugfork's balancer daemon", "lugforkd");
+  app.set_version_flag("--version", LUGFORK_VERSION);
+  NodeDaemonSettings settings;
+  LogSettings log_settings;
+  addNodeOptions(app, settings);
+  addTunables(app, settings);
+  addLogOptions(app, log_settings);
+  addSettingsFile(app);
+  return runProgram(app, argc, argv, [&] {
+    log_settings.program = "lugforkd";
+    log_settings.node = settings.node.name;
+    log_settings.zone = settings.node.zone;
+    JsonEventLog log(log_settings);
+    NodeDaemon daemon(settings, log);
+    daemon.run();
+    return kExitSuccess;
+  });
+}
+
+}  // namespace
+}  // namespace lugfork
+
+int main(int argc, char** argv) {
+  return lugfork::run(argc, argv);
+}
--- /dev/null
+++ b/src/programs/standin_backend.cc
@@ -0,0 +1,132 @@
+#include <nlohmann/json.hpp>
+
+#include "programs/standin_commands.h"
+#include "programs/standin_loop.h"
+#include "runtime/backend_probe.h"
+#include "runtime/http_server.h"
+#include "runtime/periodic_timer.h"
+#include "runtime/program.h"
+#include "runtime/udp_endpoint.h"
+#include "sim/backend_model.h"
+
+namespace lugfork {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kTickInterval = milliseconds(10);
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+
+struct BackendProgramSettings {
+  BackendModelSettings model;
+  std::uint32_t id = 0;
+  std::uint32_t service = 0;
+  Endpoint listen;
+  Endpoint probe_address;
+};
+
+/** Runs one BackendModel on real sockets, with its load endpoint and test switches. */
+class BackendStandin {
+ public:
+  explicit BackendStandin(const BackendProgramSettings& settings)
+      : socket_(io_context_, settings.listen,
+                [this](std::span<const std::uint8_t> bytes, Endpoint from) {
+                  model_.onDatagram(bytes, from);
+                }),
+        model_(settings.model, time_source_, socket_),
+        timer_(io_context_, kTickInterval, [this] { model_.onTick(); }),
+        http_(settings.probe_address, [this](const HttpRequest& request) {
+          return callOnLoop(io_context_, [this, &request] { return handle(request); });
+        }) {}
+
+  void run() { runUntilStopped(io_context_); }
+
+ private:
+  HttpResponse handle(const HttpRequest& request) {
+    HttpResponse response;
+    if (request.path == kLoadPath) {
+      response.body = writeBackendReport(model_.report());
+    } else if (request.path == "/runs") {
+      response.body = runs().dump();
+    } else if (request.path == "/control" && request.method == "POST") {
+      response.status = control(request.body);
+    } else {
+      response.status = kNotFound;
+    }
+    return response;
+  }
+
+  json runs() const {
+    json entries = json::array();
+    for (const RunRecord& run : model_.runs()) {
+      entries.push_back({{"flow", toString(run.key.flow)},
+                         {"attempt", run.key.attempt},
+                         {"may_repeat", run.kind != WorkKind::Upload},
+                         {"admitted_at_ms", toUnixMilliseconds(run.admitted_at)},
+                         {"admitted_while_draining", run.admitted_while_draining}});
+    }
+    return entries;
+  }
+
+  int control(const std::string& body) {
+    const json command = json::parse(body, nullptr, false);
+    if (!command.is_object()) {
+      return kBadRequest;
+    }
+    if (command.contains("draining")) {
+      model_.setDraining(command["draining"].get<bool>());
+    }
+    if (command.contains("shedding")) {
+      model_.setShedding(command["shedding"].get<bool>());
+    }
+    if (command.contains("report_factor") || command.contains("report_lag_ms")) {
+      model_.setDistortion(
+          {command.value("report_factor", 1.0), milliseconds(command.value("report_lag_ms", 0))});
+    }
+    return HttpResponse().status;
+  }
+
+  boost::asio::io_context io_context_;
+  RealTimeSource time_source_;
+  UdpEndpoint socket_;
+  BackendModel model_;
+  PeriodicTimer timer_;
+  HttpServer http_;
+};
+
+}  // namespace
+
+void addBackendCommand(CLI::App& app, CommandBody& run) {
+  CLI::App* command = app.add_subcommand("backend", "serves requests of one service");
+  const auto settings = std::make_shared<BackendProgramSettings>();
+  command->add_option("--id", settings->id, "back end id of the configuration")->required();
+  command->add_option("--service", settings->service, "service id of the configuration")
+      ->required();
+  addEndpointOption(*command, "--listen", settings->listen, "UDP address")->required();
+  addEndpointOption(*command, "--probe-address", settings->probe_address,
+                    "HTTP address of /load, /runs and /control")
+      ->required();
+  command->add_option("--slots", settings->model.slots, "requests worked on at a time")
+      ->check(CLI::Range(1, 1000000))
+      ->capture_default_str();
+  command->add_option("--connections", settings->model.connections, "flows held open at a time")
+      ->check(CLI::Range(1, 10000000))
+      ->capture_default_str();
+  command->add_option("--queue-limit", settings->model.queue_limit, "requests waiting for a slot")
+      ->check(CLI::Range(0, 1000000))
+      ->capture_default_str();
+  addMillisecondsOption(*command, "--cold-start", settings->model.cold_start, milliseconds(0),
+                        milliseconds(600000), "time after the start in which work takes longer");
+  command->callback([&run, settings] {
+    run = [settings] {
+      settings->model.id = BackendId(settings->id);
+      settings->model.service = ServiceId(settings->service);
+      BackendStandin(*settings).run();
+      return kExitSuccess;
+    };
+  });
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/http_server.cc
@@ -0,0 +1,115 @@
+#include "runtime/http_server.h"
+
+#include <CivetServer.h>
+
+#include <algorithm>
+#include <cctype>
+#include <sstream>
+
+namespace lugfork {
+
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = 16UL * 1024 * 1024;
+constexpr std::size_t kReadChunkBytes = 16UL * 1024;
+
+std::string lowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return text;
+}
+
+std::string urlDecode(const std::string& text) {
+  std::string decoded;
+  CivetServer::urlDecode(text, decoded);
+  return decoded;
+}
+
+std::map<std::string, std::string> parseQuery(const char* query) {
+  std::map<std::string, std::string> parameters;
+  std::istringstream parts(query == nullptr ? "" : query);
+  std::string part;
+  while (std::getline(parts, part, '&')) {
+    const auto equals = part.find('=');
+    const std::string value = equals == std::string::npos ? "" : part.substr(equals + 1);
+    parameters[urlDecode(part.substr(0, equals))] = urlDecode(value);
+  }
+  return parameters;
+}
+
+std::string readBody(mg_connection* connection, long long content_length) {
+  std::string body;
+  std::string chunk(kReadChunkBytes, '\0');
+  while (body.size() < kMaxBodyBytes &&
+         (content_length < 0 || body.size() < static_cast<std::size_t>(content_length))) {
+    const int count = mg_read(connection, chunk.data(), chunk.size());
+    if (count <= 0) {
+      break;
+    }
+    body.append(chunk, 0, static_cast<std::size_t>(count));
+  }
+  return body;
+}
+
+HttpRequest readRequest(mg_connection* connection) {
+  const mg_request_info* info = mg_get_request_info(connection);
+  HttpRequest request;
+  request.method = info->request_method;
+  request.path = info->local_uri;
+  request.query = parseQuery(info->query_string);
+  for (int index = 0; index < info->num_headers; ++index) {
+    request.headers[lowerCase(info->http_headers[index].name)] = info->http_headers[index].value;
+  }
+  if (info->content_length != 0 && request.method != "GET" && request.method != "HEAD") {
+    request.body = readBody(connection, info->content_length);
+  }
+  return request;
+}
+
+void writeResponse(mg_connection* connection, const HttpResponse& response) {
+  std::ostringstream head;
+  head << "HTTP/1.1 " << response.status << ' '
+       << mg_get_response_code_text(connection, response.status)
+       << "\r\nContent-Type: " << response.content_type
+       << "\r\nContent-Length: " << response.body.size() << "\r\nConnection: close\r\n";
+  for (const auto& [name, value] : response.headers) {
+    head << name << ": " << value << "\r\n";
+  }
+  head << "\r\n" << response.body;
+  const std::string bytes = head.str();
+  mg_write(connection, bytes.data(), bytes.size());
+}
+
+class CatchAllHandler : public CivetHandler {
+ public:
+  explicit CatchAllHandler(HttpServer::Handler handler) : handler_(std::move(handler)) {}
+
+  bool handleGet(CivetServer*, mg_connection* connection) override { return handle(connection); }
+  bool handlePost(CivetServer*, mg_connection* connection) override { return handle(connection); }
+  bool handlePut(CivetServer*, mg_connection* connection) override { return handle(connection); }
+  bool handleDelete(CivetServer*, mg_connection* connection) override { return handle(connection); }
+
+ private:
+  bool handle(mg_connection* connection) {
+    writeResponse(connection, handler_(readRequest(connection)));
+    return true;
+  }
+
+  HttpServer::Handler handler_;
+};
+
+}  // namespace
+
+HttpServer::HttpServer(Endpoint address, Handler handler)
+    : handler_(std::make_unique<CatchAllHandler>(std::move(handler))) {
+  const std::vector<std::string> options = {
+      "listening_ports", toString(address), "num_threads", "8", "request_timeout_ms", "10000"};
+  server_ = std::make_unique<CivetServer>(options);
+  server_->addHandler("/", handler_.get());
+}
+
+HttpServer::~HttpServer() {
+  server_->close();
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/http_server.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "common/ids.h"
+
+class CivetServer;
+class CivetHandler;
+
+namespace lugfork {
+
+/** One HTTP request as a handler sees it. */
+struct HttpRequest {
+  std::string method;
+  std::string path;
+  /** Query parameters, decoded. */
+  std::map<std::string, std::string> query;
+  /** Header fields; names in lower case. */
+  std::map<std::string, std::string> headers;
+  std::string body;
+};
+
+/** Answer to an HttpRequest. */
+struct HttpResponse {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::map<std::string, std::string> headers;
+  std::string body;
+};
+
+/** HTTP server (CivetWeb) with one handler for all paths, called on the server's own threads. */
+class HttpServer {
+ public:
+  using Handler = std::function<HttpResponse(const HttpRequest&)>;
+
+  /** @throws CivetException where the address can't be bound. */
+  HttpServer(Endpoint address, Handler handler);
+  ~HttpServer();
+
+ private:
+  std::unique_ptr<CivetHandler> handler_;
+  std::unique_ptr<CivetServer> server_;
+};
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/json_event_log.cc
@@ -0,0 +1,89 @@
+#include "runtime/json_event_log.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace lugfork {
+
+namespace {
+
+log4cxx::LevelPtr toLog4cxxLevel(LogLevel level) {
+  switch (level) {
+    case LogLevel::Debug:
+      return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+      return log4cxx::Level::getInfo();
+    case LogLevel::Warn:
+      return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+      return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getInfo();
+}
+
+const char* levelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::Debug:
+      return "debug";
+    case LogLevel::Info:
+      return "info";
+    case LogLevel::Warn:
+      return "warn";
+    case LogLevel::Error:
+      return "error";
+  }
+  return "info";
+}
+
+log4cxx::LoggerPtr componentLogger(std::string_view component) {
+  return log4cxx::Logger::getLogger("lugfork." + std::string(component));
+}
+
+std::int64_t unixMilliseconds() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+}
+
+}  // namespace
+
+JsonEventLog::JsonEventLog(LogSettings settings) : settings_(std::move(settings)) {
+  const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+  const auto appender =
+      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+  const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+  root->removeAllAppenders();
+  root->addAppender(appender);
+  root->setLevel(log4cxx::Level::toLevel(settings_.level));
+  for (const auto& [component, level] : settings_.component_levels) {
+    componentLogger(component)->setLevel(log4cxx::Level::toLevel(level));
+  }
+}
+
+void JsonEventLog::write(LogLevel level, std::string_view component, std::string_view event,
+                         std::initializer_list<LogField> fields) {
+  const log4cxx::LoggerPtr logger = componentLogger(component);
+  const log4cxx::LevelPtr log4cxx_level = toLog4cxxLevel(level);
+  if (!logger->isEnabledFor(log4cxx_level)) {
+    return;
+  }
+  nlohmann::ordered_json line;
+  line["time_ms"] = unixMilliseconds();
+  line["level"] = levelName(level);
+  line["program"] = settings_.program;
+  line["component"] = component;
+  line["node"] = settings_.node;
+  line["zone"] = settings_.zone;
+  line["event"] = event;
+  for (const LogField& field : fields) {
+    std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
+  }
+  const auto replace = nlohmann::ordered_json::error_handler_t::replace;
+  logger->forcedLog(log4cxx_level, line.dump(-1, ' ', false, replace));
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/json_event_log.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "common/event_log.h"
+
+namespace lugfork {
+
+/** Who writes the log, and what is written. */
+struct LogSettings {
+  std::string program;
+  std::string node;
+  std::string zone;
+  /** Lowest level written: debug, info, warn or error. */
+  std::string level = "info";
+  /** Levels for single components, by the component's name. */
+  std::map<std::string, std::string> component_levels;
+};
+
+/** EventLog that writes one JSON object a line to standard error through log4cxx. */
+class JsonEventLog : public EventLog {
+ public:
+  explicit JsonEventLog(LogSettings settings);
+
+  void write(LogLevel level, std::string_view component, std::string_view event,
+             std::initializer_list<LogField> fields) override;
+
+ private:
+  const LogSettings settings_;
+};
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/metrics.cc
@@ -0,0 +1,72 @@
+#include "runtime/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace lugfork {
+
+namespace {
+
+void addCounter(prometheus::Registry& registry, const std::string& name, const std::string& help,
+                std::uint64_t value, const prometheus::Labels& labels = {}) {
+  auto& family = prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+  family.Add(labels).Increment(static_cast<double>(value));
+}
+
+void addGauge(prometheus::Registry& registry, const std::string& name, const std::string& help,
+              double value) {
+  prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(value);
+}
+
+void addFlowCounters(prometheus::Registry& registry, const FlowCounters& counters) {
+  addCounter(registry, "lugfork_placements_total", "Flows placed.", counters.placements);
+  addCounter(registry, "lugfork_replacements_total", "Refused flows placed again at once.",
+             counters.replacements);
+  addCounter(registry, "lugfork_forwards_total", "Datagrams forwarded to back ends.",
+             counters.forwards, {{"mode", "may_start"}});
+  addCounter(registry, "lugfork_forwards_total", "Datagrams forwarded to back ends.",
+             counters.forwards_continue_only, {{"mode", "continue_only"}});
+  for (std::size_t index = 0; index < kReasonCount; ++index) {
+    const prometheus::Labels labels = {{"reason", toString(static_cast<Reason>(index))}};
+    addCounter(registry, "lugfork_refusals_total", "Refusals sent to callers.",
+               counters.refusals_by_reason[index], labels);
+    addCounter(registry, "lugfork_resets_total", "Resets sent to callers.",
+               counters.resets_by_reason[index], labels);
+  }
+  for (std::size_t index = 0; index < kCodecErrorCount; ++index) {
+    addCounter(registry, "lugfork_datagrams_dropped_total", "Datagrams dropped.",
+               counters.drops_by_codec_error[index],
+               {{"cause", toString(static_cast<CodecError>(index))}});
+  }
+  addCounter(registry, "lugfork_datagrams_dropped_total", "Datagrams dropped.",
+             counters.drops_configuration_behind, {{"cause", "configuration_behind"}});
+  addCounter(registry, "lugfork_datagrams_dropped_total", "Datagrams dropped.",
+             counters.drops_unexpected_type, {{"cause", "unexpected_type"}});
+}
+
+void addPeerCounters(prometheus::Registry& registry, const PeerTransportCounters& peers) {
+  const char* help = "Bytes of peer messages.";
+  addCounter(registry, "lugfork_control_bytes_total", help, peers.bytes_sent,
+             {{"direction", "sent"}});
+  addCounter(registry, "lugfork_control_bytes_total", help, peers.bytes_received,
+             {{"direction", "received"}});
+  addCounter(registry, "lugfork_peer_messages_rejected_total", "Frames that are no peer message.",
+             peers.messages_rejected);
+  addCounter(registry, "lugfork_peer_messages_dropped_total", "Peer messages not sent.",
+             peers.messages_dropped);
+}
+
+}  // namespace
+
+std::string renderMetrics(const Node& node, const PeerTransportCounters& peers) {
+  prometheus::Registry registry;
+  addFlowCounters(registry, node.flowCounters());
+  addPeerCounters(registry, peers);
+  addGauge(registry, "lugfork_configuration_version", "Version in force.",
+           static_cast<double>(node.configuration().version().value()));
+  return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/metrics.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+#include "balancer/node.h"
+#include "runtime/peer_transport.h"
+
+namespace lugfork {
+
+/** @return the node's counters in the Prometheus text format. */
+std::string renderMetrics(const Node& node, const PeerTransportCounters& peers);
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/node_daemon.cc
@@ -0,0 +1,169 @@
+#include "runtime/node_daemon.h"
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+
+#include "runtime/backend_probe.h"
+#include "runtime/http_client.h"
+#include "runtime/metrics.h"
+#include "runtime/program.h"
+
+namespace lugfork {
+
+namespace {
+
+constexpr Duration kTickInterval = milliseconds(20);
+constexpr std::size_t kWorkerThreads = 8;
+constexpr int kOk = 200;
+constexpr const char* kConfigurationPath = "/v1/configuration";
+constexpr const char* kMachinesPath = "/v1/machines";
+
+}  // namespace
+
+NodeDaemon::NodeDaemon(NodeDaemonSettings settings, EventLog& log)
+    : settings_(std::move(settings)),
+      log_(log),
+      random_(makeSeededRandom(entropySeed())),
+      workers_(kWorkerThreads),
+      node_(settings_.node, time_source_, *random_, *this, log),
+      api_(node_),
+      data_(io_context_, settings_.data_address,
+            [this](std::span<const std::uint8_t> bytes, Endpoint from) {
+              last_datagram_at_ = time_source_.monotonicTime();
+              node_.onDatagram(bytes, from);
+            }),
+      peers_(io_context_, settings_.node.peer_address,
+             [this](Endpoint from, const PeerMessage& message) {
+               node_.onPeerMessage(from, message);
+             }),
+      tick_(io_context_, kTickInterval,
+            [this] {
+              node_.onTick();
+              stopWhenQuiet();
+            }),
+      signals_(io_context_, SIGTERM, SIGINT) {
+  signals_.async_wait([this](const boost::system::error_code& error, int) {
+    if (!error) {
+      onStopSignal();
+    }
+  });
+  http_ = std::make_unique<HttpServer>(
+      settings_.api_address, [this](const HttpRequest& request) { return onHttpRequest(request); });
+}
+
+NodeDaemon::~NodeDaemon() = default;
+
+void NodeDaemon::run() {
+  log_.write(LogLevel::Info, "daemon", "started",
+             {{"data_address", toString(settings_.data_address)},
+              {"peer_address", toString(settings_.node.peer_address)},
+              {"api_address", toString(settings_.api_address)},
+              {"version", LUGFORK_VERSION}});
+  io_context_.run();
+  workers_.join();
+  // Requests that wait for the event loop are answered before the server closes.
+  io_context_.restart();
+  boost::asio::thread_pool closer(1);
+  boost::asio::post(closer, [this] { http_.reset(); });
+  const auto guard = boost::asio::make_work_guard(io_context_);
+  boost::asio::post(closer, [this] { io_context_.stop(); });
+  io_context_.run();
+  closer.join();
+  log_.write(LogLevel::Info, "daemon", "stopped", {});
+}
+
+void NodeDaemon::sendDatagram(Endpoint destination, const Datagram& datagram) {
+  data_.sendDatagram(destination, datagram);
+}
+
+void NodeDaemon::sendPeerMessage(Endpoint peer, const PeerMessage& message) {
+  peers_.send(peer, message);
+}
+
+void NodeDaemon::readPlatformConfiguration() {
+  readPlatform(kConfigurationPath,
+               [this](const std::string& body) { node_.onPlatformConfiguration(body); });
+}
+
+void NodeDaemon::readPlatformMachines() {
+  readPlatform(kMachinesPath, [this](const std::string& body) {
+    const auto machines = parseMachineList(body);
+    if (machines) {
+      node_.onPlatformMachines(machines.value());
+    } else {
+      log_.write(LogLevel::Error, "platform", "machine_list_invalid",
+                 {{"problem", machines.error()}});
+    }
+  });
+}
+
+void NodeDaemon::probeBackend(const Backend& backend) {
+  if (!probes_in_progress_.insert(backend.id).second) {
+    return;
+  }
+  boost::asio::post(workers_, [this, backend] {
+    const BackendReport report = probeBackendOverHttp(backend, settings_.probe_timeout);
+    boost::asio::post(io_context_, [this, report] {
+      probes_in_progress_.erase(report.backend);
+      node_.onBackendReport(report);
+    });
+  });
+}
+
+void NodeDaemon::readPlatform(const std::string& path,
+                              std::function<void(const std::string&)> callback) {
+  if (settings_.platform_addresses.empty() || !reads_in_progress_.insert(path).second) {
+    return;
+  }
+  HttpCall call;
+  call.server =
+      settings_.platform_addresses[next_platform_++ % settings_.platform_addresses.size()];
+  call.target = path;
+  call.timeout = settings_.platform_timeout;
+  boost::asio::post(workers_, [this, call, callback = std::move(callback)] {
+    const auto reply = httpRequest(call);
+    boost::asio::post(io_context_, [this, call, reply, callback] {
+      reads_in_progress_.erase(call.target);
+      if (reply && reply.value().status == kOk) {
+        callback(reply.value().body);
+        return;
+      }
+      const std::string cause =
+          reply ? "status " + std::to_string(reply.value().status) : reply.error().message;
+      log_.write(LogLevel::Warn, "platform", "platform_read_failed",
+                 {{"path", call.target}, {"cause", cause}});
+    });
+  });
+}
+
+void NodeDaemon::onStopSignal() {
+  leaving_since_ = time_source_.monotonicTime();
+  node_.startLeaving();
+}
+
+void NodeDaemon::stopWhenQuiet() {
+  if (!node_.isLeaving()) {
+    return;
+  }
+  const MonotonicTime now = time_source_.monotonicTime();
+  const Duration leaving_for = now - leaving_since_;
+  const bool quiet = now - last_datagram_at_ >= settings_.leave_quiet;
+  const bool done = leaving_for >= settings_.leave_minimum && quiet;
+  if (done || leaving_for >= settings_.leave_maximum) {
+    io_context_.stop();
+  }
+}
+
+HttpResponse NodeDaemon::onHttpRequest(const HttpRequest& request) {
+  return callOnLoop(io_context_, [this, &request] {
+    if (request.path == "/metrics") {
+      HttpResponse response;
+      response.content_type = "text/plain; version=0.0.4";
+      response.body = renderMetrics(node_, peers_.counters());
+      return response;
+    }
+    return api_.handle(request);
+  });
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/node_daemon.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <memory>
+#include <set>
+
+#include "balancer/node.h"
+#include "runtime/http_server.h"
+#include "runtime/peer_transport.h"
+#include "runtime/periodic_timer.h"
+#include "runtime/resource_api.h"
+#include "runtime/udp_endpoint.h"
+
+namespace lugfork {
+
+/** Addresses and tunables of the daemon around the node. */
+struct NodeDaemonSettings {
+  NodeSettings node;
+  Endpoint data_address;
+  Endpoint api_address;
+  std::vector<Endpoint> platform_addresses;
+  Duration platform_timeout = seconds(2);
+  Duration probe_timeout = milliseconds(500);
+  /** After a planned stop begins the node relays at least this long. */
+  Duration leave_minimum = seconds(2);
+  /** The node exits once no datagram came for this long. */
+  Duration leave_quiet = seconds(1);
+  /** The node exits after this long in any case. */
+  Duration leave_maximum = seconds(30);
+};
+
+/** Runs one Node on real sockets and clocks. */
+class NodeDaemon : private NodeOutputs {
+ public:
+  NodeDaemon(NodeDaemonSettings settings, EventLog& log);
+  ~NodeDaemon() override;
+
+  /** Runs until a planned stop (SIGTERM or SIGINT) is complete. */
+  void run();
+
+ private:
+  void sendDatagram(Endpoint destination, const Datagram& datagram) override;
+  void sendPeerMessage(Endpoint peer, const PeerMessage& message) override;
+  void readPlatformConfiguration() override;
+  void readPlatformMachines() override;
+  void probeBackend(const Backend& backend) override;
+
+  /** Reads a platform resource on a worker thread; the callback runs on the event loop. */
+  void readPlatform(const std::string& path, std::function<void(const std::string&)> callback);
+  void onStopSignal();
+  void stopWhenQuiet();
+  HttpResponse onHttpRequest(const HttpRequest& request);
+
+  const NodeDaemonSettings settings_;
+  EventLog& log_;
+  RealTimeSource time_source_;
+  std::unique_ptr<RandomGenerator> random_;
+  boost::asio::io_context io_context_;
+  boost::asio::thread_pool workers_;
+  Node node_;
+  ResourceApi api_;
+  UdpEndpoint data_;
+  PeerTransport peers_;
+  PeriodicTimer tick_;
+  boost::asio::signal_set signals_;
+  std::unique_ptr<HttpServer> http_;
+  std::set<std::string> reads_in_progress_;
+  std::set<BackendId> probes_in_progress_;
+  std::size_t next_platform_ = 0;
+  MonotonicTime last_datagram_at_;
+  MonotonicTime leaving_since_;
+};
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/udp_endpoint.cc
@@ -0,0 +1,62 @@
+#include "runtime/udp_endpoint.h"
+
+#include <boost/asio/buffer.hpp>
+
+#include "wire/datagram_codec.h"
+
+namespace lugfork {
+
+namespace {
+
+using boost::asio::ip::udp;
+
+constexpr int kSocketBufferBytes = 4 * 1024 * 1024;
+
+udp::endpoint toAsio(Endpoint endpoint) {
+  return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
+}
+
+Endpoint fromAsio(const udp::endpoint& endpoint) {
+  return {endpoint.address().to_v4().to_uint(), endpoint.port()};
+}
+
+}  // namespace
+
+UdpEndpoint::UdpEndpoint(boost::asio::io_context& io_context, Endpoint address, Handler handler)
+    : socket_(io_context, udp::v4()), handler_(std::move(handler)) {
+  socket_.bind(toAsio(address));
+  socket_.non_blocking(true);
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
+  socket_.set_option(boost::asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
+  receiveNext();
+}
+
+void UdpEndpoint::sendDatagram(Endpoint destination, const Datagram& datagram) {
+  sendBytes(destination, encodeDatagram(datagram));
+}
+
+void UdpEndpoint::sendBytes(Endpoint destination, std::span<const std::uint8_t> bytes) {
+  // A datagram that can't be sent is lost, as on any network; senders resend.
+  boost::system::error_code ignored;
+  socket_.send_to(boost::asio::buffer(bytes.data(), bytes.size()), toAsio(destination), 0, ignored);
+}
+
+Endpoint UdpEndpoint::localAddress() const {
+  return fromAsio(socket_.local_endpoint());
+}
+
+void UdpEndpoint::receiveNext() {
+  socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
+                             [this](const boost::system::error_code& error, std::size_t size) {
+                               if (error == boost::asio::error::operation_aborted) {
+                                 return;
+                               }
+                               if (!error) {
+                                 handler_(std::span(buffer_.data(), size), fromAsio(sender_));
+                               }
+                               receiveNext();
+                             });
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/udp_endpoint.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <span>
+
+#include "flow/flow_router.h"
+
+namespace lugfork {
+
+/** UDP socket on the event loop that sends and receives datagrams of the data path. */
+class UdpEndpoint : public DatagramSender {
+ public:
+  using Handler = std::function<void(std::span<const std::uint8_t>, Endpoint)>;
+
+  /**
+   * Binds the address; port 0 takes any free port.
+   * @throws boost::system::system_error where the address can't be bound.
+   */
+  UdpEndpoint(boost::asio::io_context& io_context, Endpoint address, Handler handler);
+
+  void sendDatagram(Endpoint destination, const Datagram& datagram) override;
+  void sendBytes(Endpoint destination, std::span<const std::uint8_t> bytes);
+
+  /** @return the bound address, with the port that the system chose. */
+  Endpoint localAddress() const;
+
+ private:
+  void receiveNext();
+
+  boost::asio::ip::udp::socket socket_;
+  Handler handler_;
+  boost::asio::ip::udp::endpoint sender_;
+  std::array<std::uint8_t, 65536> buffer_{};
+};
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/sim/backend_model.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "common/time_source.h"
+#include "flow/backend_report.h"
+#include "flow/flow_router.h"
+#include "sim/work_order.h"
+
+/**
+ * Stand-in back end: slots, connections, drain, cold start, shedding, cancellation, deadlines, and
+ * a load report that may lag or lie. The same model runs in lugfork-standin and in the simulator.
+ */
+namespace lugfork {
+
+/** Behaviour of one back end. */
+struct BackendModelSettings {
+  BackendId id;
+  ServiceId service;
+  std::uint32_t slots = 2;
+  std::uint32_t connections = 2000;
+  /** Requests that may wait for a slot before it sheds load. */
+  std::uint32_t queue_limit = 16;
+  /** Work takes cold_start_factor times as long for this time after the start. */
+  Duration cold_start{};
+  double cold_start_factor = 4;
+  /** Time after a placement in which its token may start work. */
+  Duration placement_lifetime = seconds(3);
+  /** Largest difference between two machines' wall clocks. */
+  Duration clock_skew = milliseconds(500);
+  /** Ended and refused attempts are remembered this long, so that late copies do nothing. */
+  Duration memory = seconds(60);
+  /** A flow that the caller has not confirmed for this long is dropped. */
+  Duration idle_timeout = seconds(30);
+  Duration resend_interval = milliseconds(200);
+  std::uint32_t answer_window = 16;
+  /** Time that callers are told to wait after a refusal. */
+  Duration retry_after = milliseconds(500);
+};
+
+/** One start of work, as the back end recorded it. */
+struct RunRecord {
+  FlowKey key;
+  WorkKind kind = WorkKind::PreCheck;
+  SystemTime placed_at;
+  SystemTime admitted_at;
+  SystemTime started_at;
+  /** The back end had been told to drain before the flow was admitted. */
+  bool admitted_while_draining = false;
+};
+
+/** How a back end misreports its load. */
+struct ReportDistortion {
+  /** Factor on every number of the report. */
+  double factor = 1;
+  /** Age of the state that the report shows. */
+  Duration lag{};
+};
+
+class BackendModel {
+ public:
+  BackendModel(BackendModelSettings settings, const TimeSource& time_source,
+               DatagramSender& sender);
+
+  /** Handles a datagram from a balancer. */
+  void onDatagram(std::span<const std::uint8_t> bytes, Endpoint from);
+
+  /** Does what is due; to be called every 10 ms or so. */
+  void onTick();
+
+  /** Takes nothing new from now on; what is established goes on. */
+  void setDraining(bool draining) { draining_ = draining; }
+
+  /** Refuses everything new as overloaded. */
+  void setShedding(bool shedding) { shedding_ = shedding; }
+  void setDistortion(ReportDistortion distortion) { distortion_ = distortion; }
+
+  /** @return health and load as the back end reports them, distortion included. */
+  BackendReport report() const;
+
+  /** @return flows that are not ended yet. */
+  std::size_t openFlows() const { return open_flows_; }
+  const std::vector<RunRecord>& runs() const { return runs_; }
+
+ private:
+  enum class FlowState { Receiving, Queued, Working, Answering, Ended, Refused };
+
+  struct Flow {
+    FlowState state = FlowState::Receiving;
+    Endpoint caller;
+    Endpoint balancer;
+    std::map<std::uint32_t, Bytes> pieces_ahead;
+    std::uint32_t next_piece = 0;
+    std::optional<std::uint32_t> last_piece;
+    WorkOrder order;
+    RunRecord record;
+    bool has_deadline = false;
+    MonotonicTime deadline;
+    MonotonicTime work_ends_at;
+    MonotonicTime answer_began_at;
+    std::uint32_t answers_sent = 0;
+    std::uint32_t answers_confirmed = 0;
+    MonotonicTime next_resend_at;
+    MonotonicTime last_heard_at;
+    MonotonicTime ended_at;
+    Reason refusal = Reason::None;
+  };
+
+  void onForward(const Forward& forward, Endpoint balancer);
+  void onData(const Data& data, const Forward& forward, Endpoint balancer);
+  void onAnswerAck(const AnswerAck& ack, const Forward& forward, Endpoint balancer);
+  void onCancel(const Cancel& cancel, const Forward& forward, Endpoint balancer);
+
+  /** @return Reason::None where a new attempt may be admitted. */
+  Reason admissionBlockedBy(const Data& data, const Forward& forward) const;
+  bool mayHaveRunBeforeRestart(const Data& data) const;
+  Flow& admit(const Data& data, const Forward& forward);
+  void takePiece(Flow& flow, const Data& data);
+  void onRequestComplete(const FlowKey& key, Flow& flow);
+  void startQueuedWork();
+  void startWork(const FlowKey& key, Flow& flow);
+  void advance(const FlowKey& key, Flow& flow, MonotonicTime now);
+  void sendAnswers(const FlowKey& key, Flow& flow, MonotonicTime now);
+  void sendAnswer(const FlowKey& key, const Flow& flow, std::uint32_t sequence);
+  std::uint32_t answersDue(const Flow& flow, MonotonicTime now) const;
+  void refuseAdmitted(const FlowKey& key, Flow& flow, Reason reason);
+  void rememberRefusal(const FlowKey& key, Reason reason);
+  void sendRefusal(Endpoint balancer, Endpoint caller, const FlowKey& key, Reason reason,
+                   bool not_run);
+  void endFlow(Flow& flow);
+  Duration workDuration(const WorkOrder& order) const;
+  BackendReport currentReport() const;
+
+  const BackendModelSettings settings_;
+  const TimeSource& time_source_;
+  DatagramSender& sender_;
+  const MonotonicTime started_at_;
+  const SystemTime started_at_system_;
+  /** Ordered, so that the simulator's trace does not depend on hashing. */
+  std::map<FlowKey, Flow> flows_;
+  std::deque<FlowKey> queue_;
+  std::uint32_t busy_slots_ = 0;
+  std::size_t open_flows_ = 0;
+  bool draining_ = false;
+  bool shedding_ = false;
+  ReportDistortion distortion_;
+  std::deque<BackendReport> past_reports_;
+  std::vector<RunRecord> runs_;
+};
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/sim/simulated_node.cc
@@ -0,0 +1,76 @@
+#include "sim/simulated_node.h"
+
+#include "wire/datagram_codec.h"
+
+namespace lugfork {
+
+namespace {
+
+constexpr Duration kTickInterval = milliseconds(20);
+
+}  // namespace
+
+SimulatedNode::SimulatedNode(NodeSettings settings, Endpoint data_address,
+                             SimulatedProcess& process, SimulatedNetwork& network,
+                             NodeSurroundings& surroundings, EventLog& log, std::uint64_t seed)
+    : settings_(std::move(settings)),
+      data_address_(data_address),
+      process_(process),
+      network_(network),
+      surroundings_(surroundings),
+      log_(log),
+      random_(makeSeededRandom(seed)) {
+  network_.attachDatagrams(data_address_, process_,
+                           [this](std::span<const std::uint8_t> bytes, Endpoint from) {
+                             node_->onDatagram(bytes, from);
+                           });
+  network_.attachPeers(
+      settings_.peer_address, process_,
+      [this](Endpoint from, const PeerMessage& message) { node_->onPeerMessage(from, message); });
+}
+
+void SimulatedNode::start() {
+  process_.start();
+  NodeOutputs& outputs = *this;
+  node_ = std::make_unique<Node>(settings_, process_.timeSource(), *random_, outputs, log_);
+  node_->onTick();
+  scheduleTick();
+}
+
+void SimulatedNode::kill() {
+  process_.kill();
+  node_.reset();
+}
+
+void SimulatedNode::sendDatagram(Endpoint destination, const Datagram& datagram) {
+  network_.sendDatagram(process_, data_address_, destination, encodeDatagram(datagram));
+}
+
+void SimulatedNode::sendPeerMessage(Endpoint peer, const PeerMessage& message) {
+  peer_bytes_sent_ += network_.sendPeerMessage(process_, settings_.peer_address, peer, message);
+}
+
+void SimulatedNode::readPlatformConfiguration() {
+  surroundings_.readConfiguration(
+      process_, [this](const std::string& text) { node_->onPlatformConfiguration(text); });
+}
+
+void SimulatedNode::readPlatformMachines() {
+  surroundings_.readMachines(process_, [this](const std::vector<Machine>& machines) {
+    node_->onPlatformMachines(machines);
+  });
+}
+
+void SimulatedNode::probeBackend(const Backend& backend) {
+  surroundings_.probe(process_, backend,
+                      [this](const BackendReport& report) { node_->onBackendReport(report); });
+}
+
+void SimulatedNode::scheduleTick() {
+  process_.runAfter(kTickInterval, [this] {
+    node_->onTick();
+    scheduleTick();
+  });
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/wire/message_codec.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include <msgpack.hpp>
+#include <optional>
+#include <tuple>
+#include <type_traits>
+#include <variant>
+
+#include "wire/codec_error.h"
+#include "wire/datagram.h"
+
+/**
+ * Generic msgpack codec for a variant of message structs. A message is the array
+ * [type number, fields...]; a struct's fields() gives the fields in order. Included by the codecs'
+ * source files only, to keep msgpack out of other headers.
+ */
+namespace lugfork::message_codec {
+
+template <typename T>
+concept HasFields = requires(T value) {
+  value.fields();
+};
+
+template <typename T>
+struct IsStrongId : std::false_type {};
+template <typename Tag, typename Value>
+struct IsStrongId<StrongId<Tag, Value>> : std::true_type {};
+
+template <typename T>
+struct IsVector : std::false_type {};
+template <typename T>
+struct IsVector<std::vector<T>> : std::true_type {};
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+template <typename T>
+void packValue(Packer& packer, const T& value) {
+  if constexpr (HasFields<T>) {
+    auto fields = const_cast<T&>(value).fields();
+    packer.pack_array(std::tuple_size_v<decltype(fields)>);
+    std::apply([&](const auto&... field) { (packValue(packer, field), ...); }, fields);
+  } else if constexpr (IsStrongId<T>::value) {
+    packer.pack(value.value());
+  } else if constexpr (std::is_enum_v<T>) {
+    packer.pack(static_cast<std::underlying_type_t<T>>(value));
+  } else if constexpr (std::is_same_v<T, Bytes>) {
+    packer.pack_bin(static_cast<std::uint32_t>(value.size()));
+    packer.pack_bin_body(reinterpret_cast<const char*>(value.data()),
+                         static_cast<std::uint32_t>(value.size()));
+  } else if constexpr (IsVector<T>::value) {
+    packer.pack_array(static_cast<std::uint32_t>(value.size()));
+    for (const auto& element : value) {
+      packValue(packer, element);
+    }
+  } else {
+    packer.pack(value);
+  }
+}
+
+template <typename T>
+bool unpackValue(const msgpack::object& object, T& value);
+
+template <typename Fields, std::size_t... Index>
+bool unpackFields(const msgpack::object_array& array, std::size_t offset, Fields fields,
+                  std::index_sequence<Index...>) {
+  return (unpackValue(array.ptr[offset + Index], std::get<Index>(fields)) && ...);
+}
+
+template <typename T>
+bool unpackStruct(const msgpack::object_array& array, std::size_t offset, T& value) {
+  auto fields = value.fields();
+  constexpr std::size_t kFieldCount = std::tuple_size_v<decltype(fields)>;
+  if (array.size != offset + kFieldCount) {
+    return false;
+  }
+  return unpackFields(array, offset, fields, std::make_index_sequence<kFieldCount>{});
+}
+
+template <typename T>
+bool unpackUnsigned(const msgpack::object& object, T& value) {
+  if (object.type != msgpack::type::POSITIVE_INTEGER ||
+      object.via.u64 > std::numeric_limits<T>::max()) {
+    return false;
+  }
+  value = static_cast<T>(object.via.u64);
+  return true;
+}
+
+template <typename T>
+bool unpackVector(const msgpack::object& object, std::vector<T>& values) {
+  if (object.type != msgpack::type::ARRAY) {
+    return false;
+  }
+  values.resize(object.via.array.size);
+  for (std::size_t index = 0; index < values.size(); ++index) {
+    if (!unpackValue(object.via.array.ptr[index], values[index])) {
+      return false;
+    }
+  }
+  return true;
+}
+
+template <typename T>
+bool unpackValue(const msgpack::object& object, T& value) {
+  if constexpr (HasFields<T>) {
+    return object.type == msgpack::type::ARRAY && unpackStruct(object.via.array, 0, value);
+  } else if constexpr (IsStrongId<T>::value) {
+    std::remove_cvref_t<decltype(value.value())> raw{};
+    if (!unpackUnsigned(object, raw)) {
+      return false;
+    }
+    value = T(raw);
+    return true;
+  } else if constexpr (std::is_enum_v<T>) {
+    std::underlying_type_t<T> raw{};
+    if (!unpackUnsigned(object, raw) || raw > static_cast<std::underlying_type_t<T>>(T::Last)) {
+      return false;
+    }
+    value = static_cast<T>(raw);
+    return true;
+  } else if constexpr (std::is_same_v<T, bool>) {
+    if (object.type != msgpack::type::BOOLEAN) {
+      return false;
+    }
+    value = object.via.boolean;
+    return true;
+  } else if constexpr (std::is_unsigned_v<T>) {
+    return unpackUnsigned(object, value);
+  } else if constexpr (std::is_same_v<T, Bytes>) {
+    if (object.type != msgpack::type::BIN) {
+      return false;
+    }
+    value.assign(object.via.bin.ptr, object.via.bin.ptr + object.via.bin.size);
+    return true;
+  } else if constexpr (IsVector<T>::value) {
+    return unpackVector(object, value);
+  } else {
+    static_assert(std::is_same_v<T, std::string>, "no codec for this field type");
+    if (object.type != msgpack::type::STR) {
+      return false;
+    }
+    value.assign(object.via.str.ptr, object.via.str.size);
+    return true;
+  }
+}
+
+template <typename Variant>
+Bytes encodeVariant(const Variant& message) {
+  msgpack::sbuffer buffer;
+  Packer packer(buffer);
+  std::visit(
+      [&](const auto& body) {
+        auto fields = const_cast<std::remove_cvref_t<decltype(body)>&>(body).fields();
+        packer.pack_array(static_cast<std::uint32_t>(1 + std::tuple_size_v<decltype(fields)>));
+        packer.pack(static_cast<std::uint8_t>(message.index()));
+        std::apply([&](const auto&... field) { (packValue(packer, field), ...); }, fields);
+      },
+      message);
+  return Bytes(buffer.data(), buffer.data() + buffer.size());
+}
+
+template <typename Variant, std::size_t Index = 0>
+Result<Variant, CodecError> decodeBody(const msgpack::object_array& array, std::uint64_t type) {
+  if constexpr (Index == std::variant_size_v<Variant>) {
+    return CodecError::UnknownType;
+  } else {
+    if (type != Index) {
+      return decodeBody<Variant, Index + 1>(array, type);
+    }
+    std::variant_alternative_t<Index, Variant> body;
+    if (!unpackStruct(array, 1, body)) {
+      return CodecError::BadField;
+    }
+    return Variant(std::in_place_index<Index>, std::move(body));
+  }
+}
+
+template <typename Variant>
+Result<Variant, CodecError> decodeVariant(const std::uint8_t* data, std::size_t size) {
+  try {
+    std::size_t consumed = 0;
+    // Strings and bytes are referenced in place; no nesting in our messages is deeper than this.
+    const msgpack::unpack_limit limits(size, 0, size, size, 0, 8);
+    msgpack::zone zone;
+    bool referenced = false;
+    const msgpack::object object = msgpack::unpack(
+        zone, reinterpret_cast<const char*>(data), size, consumed, referenced,
+        [](msgpack::type::object_type, std::size_t, void*) { return true; }, nullptr, limits);
+    if (consumed != size) {
+      return CodecError::TrailingBytes;
+    }
+    if (object.type != msgpack::type::ARRAY || object.via.array.size == 0 ||
+        object.via.array.ptr[0].type != msgpack::type::POSITIVE_INTEGER) {
+      return CodecError::Malformed;
+    }
+    return decodeBody<Variant>(object.via.array, object.via.array.ptr[0].via.u64);
+  } catch (const msgpack::unpack_error&) {
+    return CodecError::Malformed;
+  }
+}
+
+}  // namespace lugfork::message_codec
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
