--- /dev/null
+++ b/src/programs/lugfork_sim.cc
@@ -0,0 +1,15 @@
+/** lugfork-sim: deterministic simulation of whole fleets. */
+
+#include "programs/sim_commands.h"
+#include "runtime/program.h"
+
+int main(int argc, char** argv) {
+  CLI::App app("deterministic simulation of lugfork under failure", "lugfork-sim");
+  app.set_version_flag("--version", LUGFORK_VERSION);
+  app.require_subcommand(1);
+  lugfork::CommandBody run;
+  lugfork::addRunCommand(app, run);
+  lugfork::addSpreadCommand(app, run);
+  lugfork::addReportCommand(app, run);
+  return lugfork::runProgram(app, argc, argv, [&run] { return run(); });
+}
--- /dev/null
+++ b/src/programs/sim_report.cc
@@ -0,0 +1,7 @@
+#include "programs/sim_commands.h"
+
+namespace lugfork {
+
+void addReportCommand(CLI::App&, CommandBody&) {}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/programs/sim_spread.cc
@@ -0,0 +1,7 @@
+#include "programs/sim_commands.h"
+
+namespace lugfork {
+
+void addSpreadCommand(CLI::App&, CommandBody&) {}
+
+}  // namespace lugfork
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -15,7 +15,7 @@
 namespace lugfork {
 
 /** Largest peer message, in bytes. */
-inline constexpr std::size_t kMaxPeerMessageBytes = 64 * 1024;
+inline constexpr std::size_t kMaxPeerMessageBytes = 64UL * 1024;
 
 /** Asks a peer for a sign of life and tells the version in force here. */
 struct Ping {
