--- a/src/balancer/node.cc
+++ b/src/balancer/node.cc
@@ -4,18 +4,62 @@
 
 namespace lugfork {
 
+namespace {
+
+/** Up to this many members every report goes to every node. */
+constexpr std::size_t kSmallFleet = 32;
+/** Most bytes of observations in one message. */
+constexpr std::size_t kMaxObservationBytes = 1000;
+/** Bytes of observations that a ping or an acknowledgement may carry. */
+constexpr std::size_t kProbeObservationBytes = 4 * LoadSpread::kObservationBytes;
+/** Encoded size of a gossip header without its lists. */
+constexpr std::size_t kHeaderBytes = 80;
+/** Encoded size of a member record, names included. */
+constexpr std::size_t kMemberBytes = 48;
+/** Members pinged at once when the view needs a confirmation. */
+constexpr std::size_t kConfirmingPeers = 3;
+constexpr Duration kConfirmationInterval = milliseconds(500);
+/** Shortest time between two computations of the probe assignment. */
+constexpr Duration kAssignmentInterval = seconds(1);
+/** A read of the platform without an answer for this long is given up. */
+constexpr Duration kPlatformReadTimeout = seconds(10);
+
+MemberRecord recordOf(const NodeSettings& settings, const TimeSource& time_source) {
+  MemberRecord record;
+  record.name = settings.name;
+  record.zone = settings.zone;
+  record.peer_address = settings.peer_address;
+  record.incarnation = toUnixMilliseconds(time_source.systemTime());
+  return record;
+}
+
+std::size_t estimatedBytes(const GossipHeader& gossip) {
+  return kHeaderBytes + kMemberBytes * gossip.members.size() +
+         LoadSpread::kObservationBytes * gossip.observations.size();
+}
+
+}  // namespace
+
 Node::Node(NodeSettings settings, const TimeSource& time_source, RandomGenerator& random,
            NodeOutputs& outputs, EventLog& log)
     : settings_(std::move(settings)),
-      id_(nodeIdFromName(settings_.name)),
       time_source_(time_source),
       random_(random),
       outputs_(outputs),
       log_(log),
+      store_(settings_.shared_configurations),
       loads_(settings_.load, time_source),
       placement_(settings_.placement, makePlacementPolicy(settings_.placement_policy), loads_,
                  time_source, random),
-      router_(settings_.flow, time_source, outputs, placement_, loads_, *this) {}
+      router_(settings_.flow, time_source, outputs, placement_, loads_, *this),
+      membership_(settings_.membership, recordOf(settings_, time_source), time_source, random,
+                  *this, log),
+      configuration_(settings_.configuration, store_, time_source, random, *this, log),
+      lease_(settings_.lease, time_source),
+      join_(settings_.join, time_source),
+      probes_(settings_.probes),
+      load_spread_(settings_.load_spread, time_source),
+      budget_(settings_.control_bytes_per_second, time_source) {}
 
 void Node::onDatagram(std::span<const std::uint8_t> bytes, Endpoint from) {
   router_.onDatagram(bytes, from);
@@ -26,122 +70,298 @@
 }
 
 void Node::onPlatformConfiguration(const std::string& json_text) {
-  offerConfiguration(json_text, "platform");
+  configuration_.onPlatformDocument(json_text);
+  join_.onPlatformConfiguration();
+  const MonotonicTime requested_at = platform_requested_at_;
+  platform_requested_at_ = MonotonicTime();
+  if (requested_at != MonotonicTime() && configuration_.platformIsCurrent()) {
+    lease_.onConfirmed(requested_at);
+  }
 }
 
 void Node::onPlatformMachines(const std::vector<Machine>& machines) {
-  peers_.clear();
-  std::uint32_t live = 1;
+  std::vector<MemberSeed> seeds;
   for (const Machine& machine : machines) {
-    if (machine.name == settings_.name) {
-      continue;
+    if (!machine.leaving) {
+      seeds.push_back({machine.name, machine.zone, machine.peer_address});
     }
-    live += machine.leaving ? 0 : 1;
-    peers_.push_back(machine);
   }
-  loads_.setLiveBalancers(live);
+  membership_.setSeeds(std::move(seeds));
+  join_.onMachineList(membership_.seedCount());
 }
 
 void Node::onBackendReport(const BackendReport& report) {
-  if (loads_.onReport(report) && (!report.reachable || report.draining)) {
-    placement_.invalidateCandidates();
-  }
+  onObservation({report, false});
 }
 
 void Node::onTick() {
   const MonotonicTime now = time_source_.monotonicTime();
-  if (now >= next_platform_read_) {
-    next_platform_read_ = now + settings_.platform_interval;
-    outputs_.readPlatformConfiguration();
-    outputs_.readPlatformMachines();
-  }
-  if (now >= next_gossip_) {
-    next_gossip_ = now + settings_.gossip_interval;
-    gossip();
-  }
-  if (now >= next_probe_) {
-    next_probe_ = now + settings_.probe_interval;
-    probe();
+  if (lease_.onTick()) {
+    log_.write(LogLevel::Warn, "node", "pause_detected", {});
+    membership_.onPause();
+    next_confirmation_ = MonotonicTime();
+    platform_requested_at_ = MonotonicTime();
+    configuration_.readPlatformSoon();
   }
+  membership_.onTick();
+  configuration_.onTick(membership_.liveCount() + 1);
+  join_.onTick();
+  confirmView(now);
+  pushNews();
+  spreadLoad(now);
+  probe(now);
 }
 
 void Node::startLeaving() {
   leaving_ = true;
+  membership_.startLeaving();
+  push_pending_ = true;
+  pushNews();
   log_.write(LogLevel::Info, "node", "leaving", {});
 }
 
 Reason Node::placementBlockedBy() const {
-  if (leaving_ || store_.inForce() == nullptr) {
+  if (leaving_ || store_.inForce() == nullptr || join_.state() == JoinState::Joining) {
     return Reason::Joining;
   }
-  return Reason::None;
+  return lease_.state() == ViewState::Stale ? Reason::ViewNotFresh : Reason::None;
 }
 
-void Node::onNewerConfigurationSeen(ConfigVersion) {
-  outputs_.readPlatformConfiguration();
+ClusterStatus Node::clusterStatus() const {
+  return {join_.state(), lease_.state(), membership_.liveCount(), membership_.members().size(),
+          configuration_.conflicts()};
+}
+
+void Node::onNewerConfigurationSeen(ConfigVersion version) {
+  if (!configuration_.onNewerVersionSeen(version)) {
+    return;
+  }
+  const std::vector<MemberRecord> peers = membership_.randomLive(1);
+  if (!peers.empty()) {
+    configuration_.request(peers.front().peer_address);
+  }
+  configuration_.readPlatformSoon();
 }
 
 void Node::onBackendDraining(BackendId backend) {
-  log_.write(LogLevel::Info, "node", "backend_draining", {{"backend", backend.value()}});
+  if (load_spread_.onOwnWord(backend)) {
+    log_.write(LogLevel::Info, "node", "backend_draining", {{"backend", backend.value()}});
+  }
+}
+
+void Node::sendPing(Endpoint peer, std::uint64_t sequence, const MemberRecord* about) {
+  outputs_.sendPeerMessage(peer, Ping{sequence, makeGossip(about, ObservationScope::StateChanges)});
 }
 
-void Node::offerConfiguration(const std::string& json_text, const char* source) {
-  const OfferOutcome outcome = store_.offer(json_text);
-  if (outcome == OfferOutcome::Adopted || outcome == OfferOutcome::ConflictAdopted) {
-    router_.setConfiguration(store_.inForce());
-    log_.write(LogLevel::Info, "configuration", "configuration_adopted",
-               {{"version", store_.version().value()},
-                {"source", source},
-                {"outcome", toString(outcome)}});
-  } else if (outcome == OfferOutcome::Invalid) {
-    log_.write(LogLevel::Error, "configuration", "configuration_invalid",
-               {{"source", source}, {"problems", describeProblems(store_.lastProblems())}});
-  } else if (outcome == OfferOutcome::ConflictKept) {
-    log_.write(LogLevel::Error, "configuration", "configuration_conflict",
-               {{"source", source}, {"version", store_.version().value()}});
+void Node::sendPingAck(Endpoint peer, std::uint64_t sequence) {
+  outputs_.sendPeerMessage(peer,
+                           PingAck{sequence, makeGossip(nullptr, ObservationScope::StateChanges)});
+}
+
+void Node::sendPingRequest(Endpoint via, std::uint64_t sequence, Endpoint target) {
+  GossipHeader gossip = makeGossip(nullptr, ObservationScope::StateChanges);
+  outputs_.sendPeerMessage(via, PingRequest{sequence, target, std::move(gossip)});
+}
+
+void Node::sendMembersRequest(Endpoint peer, std::uint32_t from_index) {
+  outputs_.sendPeerMessage(peer, MembersRequest{from_index});
+}
+
+void Node::onMemberChanged(const MemberRecord&, MemberState) {
+  loads_.setLiveBalancers(static_cast<std::uint32_t>(membership_.liveCount() + 1));
+}
+
+void Node::sendConfigurationMessage(Endpoint peer, const PeerMessage& message) {
+  outputs_.sendPeerMessage(peer, message);
+}
+
+void Node::readConfigurationFromPlatform() {
+  const MonotonicTime now = time_source_.monotonicTime();
+  const bool waiting = platform_requested_at_ != MonotonicTime() &&
+                       now - platform_requested_at_ < kPlatformReadTimeout;
+  if (!waiting) {
+    platform_requested_at_ = now;
   }
+  outputs_.readPlatformConfiguration();
+  outputs_.readPlatformMachines();
 }
 
-void Node::gossip() {
-  if (peers_.empty()) {
+void Node::onConfigurationAdopted() {
+  router_.setConfiguration(store_.inForce());
+  join_.onConfiguration(store_.version());
+  push_pending_ = true;
+  pushNews();
+}
+
+void Node::handle(Endpoint from, const Ping& ping) {
+  onGossip(from, ping.gossip);
+  membership_.onPing(from, ping.sequence);
+}
+
+void Node::handle(Endpoint from, const PingAck& ack) {
+  onGossip(from, ack.gossip);
+  const auto requested_at = membership_.onPingAck(from, ack.sequence);
+  if (!requested_at) {
     return;
   }
-  const Machine& peer = peers_[random_.below(peers_.size())];
-  outputs_.sendPeerMessage(peer.peer_address, Ping{id_, ++ping_sequence_, store_.version()});
+  join_.onPeerAnswered(ack.gossip.sender.name, ack.gossip.configuration.version);
+  if (ack.gossip.configuration <= store_.id()) {
+    lease_.onConfirmed(*requested_at);
+  }
 }
 
-void Node::probe() {
-  if (store_.inForce() == nullptr) {
+void Node::handle(Endpoint from, const PingRequest& request) {
+  onGossip(from, request.gossip);
+  membership_.onPingRequest(from, request.sequence, request.target);
+}
+
+void Node::handle(Endpoint from, const GossipPush& push) {
+  onGossip(from, push.gossip);
+}
+
+void Node::handle(Endpoint from, const MembersRequest& request) {
+  outputs_.sendPeerMessage(from, membership_.membersPage(request.from_index));
+}
+
+void Node::handle(Endpoint from, const MembersReply& reply) {
+  membership_.onMembersReply(from, reply);
+}
+
+void Node::handle(Endpoint from, const ConfigurationRequest& request) {
+  configuration_.onRequest(from, request);
+}
+
+void Node::handle(Endpoint from, const ConfigurationDelta& delta) {
+  configuration_.onDelta(from, delta);
+}
+
+void Node::handle(Endpoint from, const ConfigurationSummary& summary) {
+  configuration_.onSummary(from, summary);
+}
+
+void Node::handle(Endpoint from, const BucketRequest& request) {
+  configuration_.onBucketRequest(from, request);
+}
+
+void Node::handle(Endpoint from, const BucketReply& reply) {
+  configuration_.onBucketReply(from, reply);
+}
+
+void Node::onGossip(Endpoint from, const GossipHeader& gossip) {
+  membership_.onGossip(gossip);
+  configuration_.onPeerConfiguration(from, gossip.configuration);
+  for (const BackendObservation& observation : gossip.observations) {
+    onObservation(observation);
+  }
+}
+
+void Node::onObservation(const BackendObservation& observation) {
+  if (!load_spread_.onObservation(observation)) {
     return;
   }
-  for (const Backend& backend : store_.inForce()->document().backends) {
-    outputs_.probeBackend(backend);
+  const BackendReport& report = observation.report;
+  loads_.onReport(report);
+  if (observation.own_word) {
+    loads_.onDrainingSeen(report.backend);
+  }
+  if (!report.reachable || report.draining || observation.own_word) {
+    placement_.invalidateCandidates();
   }
 }
 
-void Node::handle(Endpoint from, const Ping& ping) {
-  outputs_.sendPeerMessage(from, PingAck{id_, ping.sequence, store_.version()});
-  onPeerVersion(from, ping.config_version);
+GossipHeader Node::makeGossip(const MemberRecord* about, ObservationScope scope) {
+  GossipHeader gossip;
+  gossip.sender = membership_.self();
+  gossip.configuration = store_.id();
+  gossip.members = membership_.takeRumours(about);
+  const std::size_t limit =
+      scope == ObservationScope::All ? kMaxObservationBytes : kProbeObservationBytes;
+  const std::size_t base = estimatedBytes(gossip);
+  const std::size_t available = budget_.available();
+  const std::size_t room = available > base ? available - base : 0;
+  gossip.observations = load_spread_.take(scope, std::min(limit, room), audience());
+  budget_.spend(estimatedBytes(gossip));
+  return gossip;
 }
 
-void Node::handle(Endpoint from, const PingAck& ack) {
-  onPeerVersion(from, ack.config_version);
+ObservationAudience Node::audience() const {
+  const std::size_t fleet = membership_.liveCount();
+  return {fleet, isSmallFleet() ? fleet : membership_.liveInZone()};
 }
 
-void Node::handle(Endpoint from, const ConfigurationRequest& request) {
-  if (request.version_in_force < store_.version()) {
-    outputs_.sendPeerMessage(from, ConfigurationReply{id_, store_.documentInForce()});
+bool Node::isSmallFleet() const {
+  return membership_.liveCount() <= kSmallFleet;
+}
+
+void Node::confirmView(MonotonicTime now) {
+  if (!lease_.needsConfirmation() || now < next_confirmation_) {
+    return;
   }
+  next_confirmation_ = now + kConfirmationInterval;
+  membership_.pingSome(kConfirmingPeers);
 }
 
-void Node::handle(Endpoint, const ConfigurationReply& reply) {
-  offerConfiguration(reply.document, "peer");
+void Node::pushNews() {
+  const bool urgent = push_pending_ || load_spread_.hasUrgent();
+  if (!urgent || budget_.available() == 0) {
+    return;
+  }
+  push_pending_ = false;
+  load_spread_.clearUrgent();
+  for (const MemberRecord& peer : membership_.randomLive(settings_.push_fanout)) {
+    outputs_.sendPeerMessage(peer.peer_address,
+                             GossipPush{makeGossip(&peer, ObservationScope::StateChanges)});
+  }
 }
 
-void Node::onPeerVersion(Endpoint from, ConfigVersion version) {
-  if (version > store_.version()) {
-    outputs_.sendPeerMessage(from, ConfigurationRequest{id_, store_.version()});
+void Node::spreadLoad(MonotonicTime now) {
+  if (now < next_gossip_) {
+    return;
+  }
+  next_gossip_ = now + settings_.gossip_interval;
+  const std::string zone = isSmallFleet() ? std::string() : settings_.zone;
+  const std::vector<MemberRecord> peers = membership_.randomLive(1, zone);
+  if (peers.empty() || load_spread_.size() == 0) {
+    return;
+  }
+  if (budget_.available() < kHeaderBytes + LoadSpread::kObservationBytes) {
+    return;
+  }
+  GossipHeader gossip = makeGossip(&peers.front(), ObservationScope::All);
+  if (!gossip.observations.empty()) {
+    outputs_.sendPeerMessage(peers.front().peer_address, GossipPush{std::move(gossip)});
+  }
+}
+
+void Node::probe(MonotonicTime now) {
+  if (store_.inForce() == nullptr) {
+    return;
+  }
+  updateAssignment(now);
+  for (const BackendId id : probes_.due(now)) {
+    if (const Backend* backend = store_.inForce()->backend(id)) {
+      outputs_.probeBackend(*backend);
+    }
+  }
+}
+
+void Node::updateAssignment(MonotonicTime now) {
+  const bool changed = assigned_generation_ != membership_.liveGeneration() + 1 ||
+                       assigned_configuration_ != store_.id();
+  if (!changed || now < next_assignment_) {
+    return;
+  }
+  next_assignment_ = now + kAssignmentInterval;
+  assigned_generation_ = membership_.liveGeneration() + 1;
+  assigned_configuration_ = store_.id();
+  std::vector<MemberRecord> live;
+  for (const MemberRecord& member : membership_.members()) {
+    if (isLive(member)) {
+      live.push_back(member);
+    }
   }
+  probes_.setAssignment(assignProbes(*store_.inForce(), membership_.self(), live,
+                                     settings_.probes.probers_per_backend));
 }
 
 }  // namespace lugfork
--- a/src/balancer/node.h
+++ b/src/balancer/node.h
@@ -2,10 +2,16 @@
 
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "balancer/machine_list.h"
+#include "cluster/configuration_spread.h"
+#include "cluster/control_budget.h"
+#include "cluster/join_controller.h"
+#include "cluster/load_spread.h"
+#include "cluster/membership.h"
+#include "cluster/probe_assignment.h"
+#include "cluster/view_lease.h"
 #include "common/event_log.h"
 #include "config/configuration_store.h"
 #include "flow/flow_router.h"
@@ -34,21 +40,42 @@
   std::string zone;
   Endpoint peer_address;
   std::string placement_policy = "power_of_two";
+  /** Time between two messages that carry load to a peer. */
   Duration gossip_interval = milliseconds(500);
-  Duration platform_interval = seconds(1);
-  Duration probe_interval = seconds(1);
-  /** Longest time from the start after which the node places with what it has. */
-  Duration join_limit = seconds(5);
+  /** Peers that a change of state or configuration is sent to at once. */
+  std::size_t push_fanout = 3;
+  /** Bytes of gossip that the node sends a second; as many arrive. */
+  std::size_t control_bytes_per_second = 1400;
   FlowRouterSettings flow;
   PlacementSettings placement;
   LoadEstimateSettings load;
+  MembershipSettings membership;
+  ConfigurationSpreadSettings configuration;
+  ViewLeaseSettings lease;
+  JoinSettings join;
+  ProbeSettings probes;
+  LoadSpreadSettings load_spread;
+  /** Set for hollow nodes of one process only. */
+  std::shared_ptr<SharedConfigurations> shared_configurations;
+};
+
+/** How the node stands with the rest of the fleet. */
+struct ClusterStatus {
+  JoinState join = JoinState::Joining;
+  ViewState view = ViewState::Stale;
+  std::size_t live_members = 0;
+  std::size_t known_members = 0;
+  std::uint64_t configuration_conflicts = 0;
+
+  /** @return true if the node places on a view that nothing confirmed in time. */
+  bool degraded() const { return join == JoinState::Degraded || view == ViewState::Degraded; }
 };
 
 /**
  * One balancer without its sockets and clocks: inputs come as calls, outputs go to NodeOutputs.
  * Runs in the daemon, in the simulator and, many to a process, as hollow node.
  */
-class Node : private FlowRouterHost {
+class Node : private FlowRouterHost, private MembershipHost, private ConfigurationSpreadHost {
  public:
   Node(NodeSettings settings, const TimeSource& time_source, RandomGenerator& random,
        NodeOutputs& outputs, EventLog& log);
@@ -72,26 +99,57 @@
   /** @return Reason::None if the node places new flows now. */
   Reason placementBlockedBy() const override;
 
+  ClusterStatus clusterStatus() const;
   const NodeSettings& settings() const { return settings_; }
   const ConfigurationStore& configuration() const { return store_; }
   const FlowCounters& flowCounters() const { return router_.counters(); }
   const BackendLoadTable& loads() const { return loads_; }
+  const LoadSpread& loadSpread() const { return load_spread_; }
+  const Membership& membership() const { return membership_; }
+  const ProbeSchedule& probes() const { return probes_; }
 
  private:
+  // FlowRouterHost
   void onNewerConfigurationSeen(ConfigVersion version) override;
   void onBackendDraining(BackendId backend) override;
 
-  void offerConfiguration(const std::string& json_text, const char* source);
-  void gossip();
-  void probe();
+  // MembershipHost
+  void sendPing(Endpoint peer, std::uint64_t sequence, const MemberRecord* about) override;
+  void sendPingAck(Endpoint peer, std::uint64_t sequence) override;
+  void sendPingRequest(Endpoint via, std::uint64_t sequence, Endpoint target) override;
+  void sendMembersRequest(Endpoint peer, std::uint32_t from_index) override;
+  void onMemberChanged(const MemberRecord& member, MemberState previous) override;
+
+  // ConfigurationSpreadHost
+  void sendConfigurationMessage(Endpoint peer, const PeerMessage& message) override;
+  void readConfigurationFromPlatform() override;
+  void onConfigurationAdopted() override;
+
   void handle(Endpoint from, const Ping& ping);
   void handle(Endpoint from, const PingAck& ack);
+  void handle(Endpoint from, const PingRequest& request);
+  void handle(Endpoint from, const GossipPush& push);
+  void handle(Endpoint from, const MembersRequest& request);
+  void handle(Endpoint from, const MembersReply& reply);
   void handle(Endpoint from, const ConfigurationRequest& request);
-  void handle(Endpoint from, const ConfigurationReply& reply);
-  void onPeerVersion(Endpoint from, ConfigVersion version);
+  void handle(Endpoint from, const ConfigurationDelta& delta);
+  void handle(Endpoint from, const ConfigurationSummary& summary);
+  void handle(Endpoint from, const BucketRequest& request);
+  void handle(Endpoint from, const BucketReply& reply);
+
+  void onGossip(Endpoint from, const GossipHeader& gossip);
+  void onObservation(const BackendObservation& observation);
+  GossipHeader makeGossip(const MemberRecord* about, ObservationScope scope);
+  ObservationAudience audience() const;
+  bool isSmallFleet() const;
+
+  void confirmView(MonotonicTime now);
+  void pushNews();
+  void spreadLoad(MonotonicTime now);
+  void probe(MonotonicTime now);
+  void updateAssignment(MonotonicTime now);
 
   const NodeSettings settings_;
-  const NodeId id_;
   const TimeSource& time_source_;
   RandomGenerator& random_;
   NodeOutputs& outputs_;
@@ -100,11 +158,21 @@
   BackendLoadTable loads_;
   PlacementEngine placement_;
   FlowRouter router_;
-  std::vector<Machine> peers_;
+  Membership membership_;
+  ConfigurationSpread configuration_;
+  ViewLease lease_;
+  JoinController join_;
+  ProbeSchedule probes_;
+  LoadSpread load_spread_;
+  ControlBudget budget_;
   MonotonicTime next_gossip_;
-  MonotonicTime next_platform_read_;
-  MonotonicTime next_probe_;
-  std::uint64_t ping_sequence_ = 0;
+  MonotonicTime next_confirmation_;
+  MonotonicTime next_assignment_;
+  /** Earliest read of the platform without an answer; unset if none is under way. */
+  MonotonicTime platform_requested_at_;
+  std::uint64_t assigned_generation_ = 0;
+  ConfigurationId assigned_configuration_;
+  bool push_pending_ = false;
   bool leaving_ = false;
 };
 
--- /dev/null
+++ b/src/cluster/configuration_spread.cc
@@ -0,0 +1,200 @@
+#include "cluster/configuration_spread.h"
+
+#include <algorithm>
+
+namespace lugfork {
+
+ConfigurationSpread::ConfigurationSpread(ConfigurationSpreadSettings settings,
+                                         ConfigurationStore& store, const TimeSource& time_source,
+                                         RandomGenerator& random, ConfigurationSpreadHost& host,
+                                         EventLog& log)
+    : settings_(settings),
+      store_(store),
+      time_source_(time_source),
+      random_(random),
+      host_(host),
+      log_(log) {}
+
+void ConfigurationSpread::onPeerConfiguration(Endpoint peer, const ConfigurationId& theirs) {
+  if (theirs > store_.id()) {
+    request(peer);
+  } else if (theirs.version == store_.version() && theirs != store_.id()) {
+    report(OfferOutcome::ConflictKept, "peer", theirs);
+  }
+}
+
+bool ConfigurationSpread::onNewerVersionSeen(ConfigVersion version) {
+  const MonotonicTime now = time_source_.monotonicTime();
+  return version > store_.version() && now >= next_request_ && !fetch_;
+}
+
+void ConfigurationSpread::request(Endpoint peer) {
+  const MonotonicTime now = time_source_.monotonicTime();
+  if (now < next_request_ || fetch_) {
+    return;
+  }
+  next_request_ = now + settings_.request_timeout;
+  host_.sendConfigurationMessage(peer, ConfigurationRequest{store_.id()});
+}
+
+void ConfigurationSpread::onRequest(Endpoint from, const ConfigurationRequest& request) {
+  if (request.have >= store_.id()) {
+    return;
+  }
+  if (auto delta = store_.deltaFrom(request.have)) {
+    host_.sendConfigurationMessage(from, std::move(*delta));
+    return;
+  }
+  host_.sendConfigurationMessage(from,
+                                 ConfigurationSummary{store_.id(), store_.bucketIndex().digests});
+}
+
+void ConfigurationSpread::onDelta(Endpoint, const ConfigurationDelta& delta) {
+  next_request_ = MonotonicTime();
+  report(store_.offerDelta(delta), "peer", delta.to);
+}
+
+void ConfigurationSpread::onSummary(Endpoint from, const ConfigurationSummary& summary) {
+  const std::size_t count = summary.bucket_digests.size();
+  if (summary.configuration <= store_.id() || fetch_ || count == 0) {
+    return;
+  }
+  const auto bucket_count = static_cast<std::uint32_t>(count);
+  Fetch fetch{from, summary.configuration, bucket_count, {}, {}, {}, time_source_.monotonicTime()};
+  const BucketIndex own = store_.inForce() == nullptr
+                              ? BucketIndex{{}, std::vector<std::uint64_t>(count)}
+                              : makeBucketIndex(*store_.inForce(), bucket_count);
+  for (std::uint32_t bucket = 0; bucket < bucket_count; ++bucket) {
+    if (own.digests[bucket] != summary.bucket_digests[bucket]) {
+      fetch.wanted.insert(bucket);
+    }
+  }
+  fetch.missing = fetch.wanted;
+  fetch_ = std::move(fetch);
+  requestBuckets();
+}
+
+void ConfigurationSpread::onBucketRequest(Endpoint from, const BucketRequest& request) {
+  const BucketIndex& index = store_.bucketIndex();
+  if (request.configuration != store_.id() || request.bucket_count != index.keys.size()) {
+    return;
+  }
+  BucketReply reply{request.configuration, {}, {}};
+  for (const std::uint32_t bucket : request.buckets) {
+    if (bucket >= index.keys.size() || reply.buckets.size() >= settings_.buckets_per_request) {
+      break;
+    }
+    reply.buckets.push_back(bucket);
+    for (const ResourceKey key : index.keys[bucket]) {
+      reply.resources.push_back(*encodeResource(*store_.inForce(), key));
+    }
+  }
+  host_.sendConfigurationMessage(from, reply);
+}
+
+void ConfigurationSpread::onBucketReply(Endpoint from, const BucketReply& reply) {
+  if (!fetch_ || fetch_->peer != from || fetch_->target != reply.configuration) {
+    return;
+  }
+  fetch_->last_progress = time_source_.monotonicTime();
+  std::set<std::uint32_t> arrived;
+  for (const std::uint32_t bucket : reply.buckets) {
+    if (fetch_->missing.erase(bucket) != 0) {
+      arrived.insert(bucket);
+    }
+  }
+  for (const ResourceRecord& record : reply.resources) {
+    if (arrived.contains(bucketOf(record.key, fetch_->bucket_count))) {
+      fetch_->received.push_back(record);
+    }
+  }
+  requestBuckets();
+}
+
+void ConfigurationSpread::onPlatformDocument(const std::string& json_text) {
+  const OfferOutcome outcome = store_.offer(json_text);
+  platform_is_current_ = outcome != OfferOutcome::Older && outcome != OfferOutcome::Invalid;
+  report(outcome, "platform", store_.id());
+}
+
+void ConfigurationSpread::onTick(std::size_t fleet_size) {
+  const MonotonicTime now = time_source_.monotonicTime();
+  if (fetch_ && now - fetch_->last_progress >= settings_.fetch_timeout) {
+    log_.write(LogLevel::Warn, "configuration", "configuration_fetch_timeout",
+               {{"peer", toString(fetch_->peer)}});
+    fetch_.reset();
+  }
+  // A node that lost its peers reads at the rate of a small fleet again.
+  const Duration interval = platformReadInterval(fleet_size);
+  next_platform_read_ = std::min(next_platform_read_, now + 2 * interval);
+  if (now >= next_platform_read_) {
+    next_platform_read_ = now + interval;
+    host_.readConfigurationFromPlatform();
+  }
+}
+
+void ConfigurationSpread::report(OfferOutcome outcome, const char* source,
+                                 const ConfigurationId& offered) {
+  const bool conflict =
+      outcome == OfferOutcome::ConflictAdopted || outcome == OfferOutcome::ConflictKept;
+  // The platform gives the same document at each read: a conflict is reported once.
+  const bool known = outcome == OfferOutcome::ConflictKept && offered.version == last_conflict_;
+  if (conflict && !known) {
+    ++conflicts_;
+    last_conflict_ = offered.version;
+    log_.write(
+        LogLevel::Error, "configuration", "configuration_conflict",
+        {{"source", source}, {"version", offered.version.value()}, {"outcome", toString(outcome)}});
+  }
+  if (outcome == OfferOutcome::Invalid) {
+    log_.write(LogLevel::Error, "configuration", "configuration_invalid",
+               {{"source", source}, {"problems", describeProblems(store_.lastProblems())}});
+  }
+  if (outcome == OfferOutcome::Adopted || outcome == OfferOutcome::ConflictAdopted) {
+    log_.write(LogLevel::Info, "configuration", "configuration_adopted",
+               {{"version", store_.version().value()},
+                {"source", source},
+                {"outcome", toString(outcome)}});
+    host_.onConfigurationAdopted();
+  }
+}
+
+void ConfigurationSpread::requestBuckets() {
+  if (fetch_->missing.empty()) {
+    finishFetch();
+    return;
+  }
+  BucketRequest request{fetch_->target, fetch_->bucket_count, {}};
+  for (const std::uint32_t bucket : fetch_->missing) {
+    if (request.buckets.size() == settings_.buckets_per_request) {
+      break;
+    }
+    request.buckets.push_back(bucket);
+  }
+  host_.sendConfigurationMessage(fetch_->peer, request);
+}
+
+void ConfigurationSpread::finishFetch() {
+  const Fetch fetch = std::move(*fetch_);
+  fetch_.reset();
+  next_request_ = MonotonicTime();
+  std::vector<ResourceRecord> resources = fetch.received;
+  if (store_.inForce() != nullptr) {
+    for (const ResourceKey key : resourceKeys(store_.inForce()->document())) {
+      if (!fetch.wanted.contains(bucketOf(key, fetch.bucket_count))) {
+        resources.push_back(*encodeResource(*store_.inForce(), key));
+      }
+    }
+  }
+  report(store_.offerResources(fetch.target, resources), "peer", fetch.target);
+}
+
+Duration ConfigurationSpread::platformReadInterval(std::size_t fleet_size) {
+  const double share = static_cast<double>(fleet_size) / settings_.fleet_reads_per_second;
+  const double base =
+      std::max(static_cast<double>(settings_.platform_interval.count()), share * 1e6);
+  const double factor = 1 + settings_.platform_jitter * (2 * random_.unit() - 1);
+  return Duration(static_cast<std::int64_t>(base * factor));
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/cluster/join_controller.cc
@@ -0,0 +1,62 @@
+#include "cluster/join_controller.h"
+
+#include <algorithm>
+
+namespace lugfork {
+
+JoinController::JoinController(JoinSettings settings, const TimeSource& time_source)
+    : settings_(settings), time_source_(time_source), started_at_(time_source.monotonicTime()) {}
+
+void JoinController::onPeerAnswered(const std::string& name, ConfigVersion version) {
+  if (state_ == JoinState::Joined) {
+    return;
+  }
+  answered_.insert(name);
+  highest_seen_ = std::max(highest_seen_, version);
+}
+
+void JoinController::onMachineList(std::size_t listed_peers) {
+  list_known_ = true;
+  listed_peers_ = listed_peers;
+}
+
+void JoinController::onTick() {
+  if (state_ == JoinState::Joined) {
+    return;
+  }
+  const Duration waited = time_source_.monotonicTime() - started_at_;
+  if (isSettled(waited)) {
+    state_ = JoinState::Joined;
+    answered_.clear();
+  } else if (waited >= settings_.limit && version_ != ConfigVersion()) {
+    state_ = JoinState::Degraded;
+  }
+}
+
+bool JoinController::isSettled(Duration waited) const {
+  if (version_ == ConfigVersion() || version_ < highest_seen_) {
+    return false;
+  }
+  if (answered_.size() >= settings_.peers_needed) {
+    return true;
+  }
+  const bool all_listed_answered = list_known_ && answered_.size() >= listed_peers_;
+  if (platform_answered_ && all_listed_answered) {
+    return true;
+  }
+  return platform_answered_ && !answered_.empty() && waited >= settings_.grace;
+}
+
+const char* toString(JoinState state) {
+  switch (state) {
+    case JoinState::Joining:
+      return "joining";
+    case JoinState::Joined:
+      return "joined";
+    case JoinState::Degraded:
+      return "degraded";
+  }
+  return "unknown";
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/cluster/load_spread.cc
@@ -0,0 +1,166 @@
+#include "cluster/load_spread.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lugfork {
+
+namespace {
+
+/** Smallest difference of a count that can be significant. */
+constexpr double kSmallestChange = 2;
+/** Reports from the future, beyond this clock skew, are taken as of now. */
+constexpr std::uint64_t kMaxSkewMilliseconds = 1000;
+
+std::uint64_t startedAt(const BackendReport& report) {
+  return report.measured_at_ms - std::min<std::uint64_t>(report.measured_at_ms, report.uptime_ms);
+}
+
+}  // namespace
+
+bool LoadSpread::onObservation(const BackendObservation& observation) {
+  BackendObservation taken = observation;
+  taken.report.measured_at_ms =
+      std::min(taken.report.measured_at_ms, nowMilliseconds() + kMaxSkewMilliseconds);
+  const auto found = entries_.find(taken.report.backend);
+  if (found == entries_.end()) {
+    Entry& entry = entries_[taken.report.backend];
+    entry.observation = taken;
+    entry.baseline = taken.report;
+    const bool healthy = taken.report.reachable && !taken.report.draining && !taken.own_word;
+    queue(entry, healthy ? ObservationPriority::LoadChange : ObservationPriority::StateChange);
+    return true;
+  }
+  Entry& entry = found->second;
+  const BackendObservation known = entry.observation;
+  const bool newer = taken.report.measured_at_ms > known.report.measured_at_ms;
+  const bool first_word = taken.own_word && !known.own_word &&
+                          startedAt(known.report) <= taken.report.measured_at_ms &&
+                          !showsRestart(known.report, taken.report);
+  if (!newer && !first_word) {
+    return false;
+  }
+  // The back end's own word stands until the back end has started again.
+  const bool restarted = newer && showsRestart(taken.report, known.report);
+  taken.own_word = taken.own_word || (known.own_word && !restarted);
+  if (!newer) {
+    taken.report = known.report;
+    taken.own_word = true;
+  }
+  const ObservationPriority priority = classify(entry, taken);
+  const MonotonicTime now = time_source_.monotonicTime();
+  const bool refresh_due = now - entry.queued_at >= settings_.refresh_interval;
+  entry.observation = taken;
+  if (priority != ObservationPriority::Refresh || refresh_due) {
+    queue(entry, priority);
+  }
+  return true;
+}
+
+bool LoadSpread::onOwnWord(BackendId backend) {
+  BackendObservation observation;
+  const BackendObservation* known = find(backend);
+  if (known != nullptr) {
+    observation = *known;
+  } else {
+    observation.report.backend = backend;
+    observation.report.reachable = true;
+    observation.report.measured_at_ms = nowMilliseconds();
+  }
+  if (known != nullptr && known->own_word) {
+    return false;
+  }
+  observation.own_word = true;
+  return onObservation(observation);
+}
+
+std::vector<BackendObservation> LoadSpread::take(ObservationScope scope, std::size_t bytes,
+                                                 const ObservationAudience& audience) {
+  std::vector<Entry*> candidates;
+  const std::uint64_t now_ms = nowMilliseconds();
+  const auto lifetime_ms = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(settings_.report_lifetime).count());
+  for (auto& [backend, entry] : entries_) {
+    const bool in_scope =
+        scope == ObservationScope::All || entry.priority == ObservationPriority::StateChange;
+    const bool unsent = entry.transmissions < transmissionLimit(entry.priority, audience);
+    const bool current = entry.observation.report.measured_at_ms + lifetime_ms > now_ms;
+    if (in_scope && unsent && (current || entry.observation.own_word)) {
+      candidates.push_back(&entry);
+    }
+  }
+  const auto more_important = [](const Entry* left, const Entry* right) {
+    return std::tie(left->priority, left->transmissions, left->queued_at,
+                    left->observation.report.backend) <
+           std::tie(right->priority, right->transmissions, right->queued_at,
+                    right->observation.report.backend);
+  };
+  const std::size_t count = std::min(bytes / kObservationBytes, candidates.size());
+  std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                    candidates.end(), more_important);
+  std::vector<BackendObservation> taken;
+  for (std::size_t index = 0; index < count; ++index) {
+    ++candidates[index]->transmissions;
+    taken.push_back(candidates[index]->observation);
+  }
+  return taken;
+}
+
+const BackendObservation* LoadSpread::find(BackendId backend) const {
+  const auto found = entries_.find(backend);
+  return found == entries_.end() ? nullptr : &found->second.observation;
+}
+
+bool LoadSpread::showsRestart(const BackendReport& report, const BackendReport& known) {
+  // Start times of one process differ by the delay of the probes and the clocks' skew.
+  return report.reachable && startedAt(report) > known.measured_at_ms;
+}
+
+ObservationPriority LoadSpread::classify(const Entry& entry,
+                                         const BackendObservation& observation) const {
+  const BackendReport& before = entry.observation.report;
+  const BackendReport& after = observation.report;
+  const bool state_changed =
+      before.reachable != after.reachable || before.draining != after.draining ||
+      entry.observation.own_word != observation.own_word || showsRestart(after, before);
+  if (state_changed) {
+    return ObservationPriority::StateChange;
+  }
+  const bool state_unsent =
+      entry.priority == ObservationPriority::StateChange && entry.transmissions == 0;
+  if (state_unsent) {
+    return ObservationPriority::StateChange;
+  }
+  const bool significant = isSignificant(entry.baseline.open_connections, after.open_connections) ||
+                           isSignificant(entry.baseline.busy_slots + entry.baseline.queued_requests,
+                                         after.busy_slots + after.queued_requests);
+  return significant ? ObservationPriority::LoadChange : ObservationPriority::Refresh;
+}
+
+bool LoadSpread::isSignificant(std::uint32_t before, std::uint32_t after) const {
+  const double difference = std::abs(static_cast<double>(after) - static_cast<double>(before));
+  return difference >= std::max(kSmallestChange, settings_.significant_change * before);
+}
+
+std::uint32_t LoadSpread::transmissionLimit(ObservationPriority priority,
+                                            const ObservationAudience& audience) const {
+  const bool state = priority == ObservationPriority::StateChange;
+  const std::size_t receivers = state ? audience.fleet : audience.zone;
+  const double scale = std::ceil(std::log2(static_cast<double>(receivers + 2)));
+  const double factor = state ? settings_.retransmit_factor : 1;
+  return static_cast<std::uint32_t>(factor * scale);
+}
+
+std::uint64_t LoadSpread::nowMilliseconds() const {
+  return toUnixMilliseconds(time_source_.systemTime());
+}
+
+void LoadSpread::queue(Entry& entry, ObservationPriority priority) {
+  entry.priority = priority;
+  entry.transmissions = 0;
+  entry.queued_at = time_source_.monotonicTime();
+  entry.baseline = entry.observation.report;
+  urgent_ = urgent_ || priority == ObservationPriority::StateChange;
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/cluster/probe_assignment.cc
@@ -0,0 +1,93 @@
+#include "cluster/probe_assignment.h"
+
+#include <algorithm>
+#include <map>
+
+namespace lugfork {
+
+namespace {
+
+/** Weight of a balancer for a back end: a finalizer of a 64-bit mix over both ids. */
+std::uint64_t rendezvousWeight(NodeId node, BackendId backend) {
+  std::uint64_t value = node.value() ^ (backend.value() * 0x9e3779b97f4a7c15ULL);
+  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+  return value ^ (value >> 31);
+}
+
+/** @return true if fewer than the wanted number of others rank above this node. */
+bool ranksAmongFirst(NodeId self, BackendId backend, const std::vector<NodeId>& others,
+                     std::size_t wanted) {
+  const std::uint64_t own = rendezvousWeight(self, backend);
+  std::size_t above = 0;
+  for (const NodeId other : others) {
+    above += rendezvousWeight(other, backend) > own ? 1 : 0;
+    if (above >= wanted) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+std::vector<BackendId> assignProbes(const ConfigurationView& configuration,
+                                    const MemberRecord& self, const std::vector<MemberRecord>& live,
+                                    std::size_t probers_per_backend) {
+  std::map<ZoneId, std::vector<NodeId>> by_zone;
+  std::vector<NodeId> all;
+  for (const MemberRecord& member : live) {
+    const NodeId id = nodeIdFromName(member.name);
+    all.push_back(id);
+    if (const Zone* zone = configuration.zoneNamed(member.zone)) {
+      by_zone[zone->id].push_back(id);
+    }
+  }
+  const Zone* own_zone = configuration.zoneNamed(self.zone);
+  const NodeId self_id = nodeIdFromName(self.name);
+  std::vector<BackendId> assigned;
+  for (const Backend& backend : configuration.document().backends) {
+    const bool in_own_zone = own_zone != nullptr && backend.zone == own_zone->id;
+    const auto zone_members = by_zone.find(backend.zone);
+    const bool zone_has_members = in_own_zone || zone_members != by_zone.end();
+    if (zone_has_members && !in_own_zone) {
+      continue;
+    }
+    static const std::vector<NodeId> kNobody;
+    const std::vector<NodeId>& in_zone =
+        zone_members == by_zone.end() ? kNobody : zone_members->second;
+    const std::vector<NodeId>& others = in_own_zone ? in_zone : all;
+    if (ranksAmongFirst(self_id, backend.id, others, probers_per_backend)) {
+      assigned.push_back(backend.id);
+    }
+  }
+  return assigned;
+}
+
+void ProbeSchedule::setAssignment(std::vector<BackendId> backends) {
+  backends_ = std::move(backends);
+}
+
+std::vector<BackendId> ProbeSchedule::due(MonotonicTime now) {
+  std::vector<BackendId> due;
+  if (backends_.empty()) {
+    return due;
+  }
+  const Duration step = interval() / static_cast<std::int64_t>(backends_.size());
+  // After a pause the schedule starts anew instead of catching up.
+  next_at_ = std::max(next_at_, now - interval());
+  while (next_at_ <= now && due.size() < backends_.size()) {
+    next_at_ += step;
+    next_ = (next_ + 1) % backends_.size();
+    due.push_back(backends_[next_]);
+  }
+  return due;
+}
+
+Duration ProbeSchedule::interval() const {
+  const auto at_limit = seconds(1) * static_cast<std::int64_t>(backends_.size()) /
+                        static_cast<std::int64_t>(settings_.max_probes_per_second);
+  return std::max(settings_.interval, std::chrono::duration_cast<Duration>(at_limit));
+}
+
+}  // namespace lugfork
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -17,6 +18,7 @@
   ZoneId id;
   std::string name;
   std::string region;
+  auto fields() { return std::tie(id, name, region); }
   bool operator==(const Zone&) const = default;
 };
 
@@ -26,6 +28,7 @@
   std::string name;
   Endpoint address;
   std::vector<ZoneId> allowed_zones;
+  auto fields() { return std::tie(id, name, address, allowed_zones); }
   bool operator==(const Service&) const = default;
 
   bool allowsZone(ZoneId zone) const;
@@ -47,6 +50,9 @@
   std::uint32_t connections = 0;
   /** Declared to be leaving: established flows go on, nothing new is placed. */
   bool draining = false;
+  auto fields() {
+    return std::tie(id, name, service, zone, address, probe_address, slots, connections, draining);
+  }
   bool operator==(const Backend&) const = default;
 };
 
@@ -58,6 +64,7 @@
   std::array<std::uint8_t, kTokenSecretBytes> secret{};
   /** The key that seals new tokens; the others only verify. Exactly one key has this. */
   bool seals = false;
+  auto fields() { return std::tie(id, secret, seals); }
   bool operator==(const TokenKey&) const = default;
 };
 
--- a/src/config/configuration_store.cc
+++ b/src/config/configuration_store.cc
@@ -1,40 +1,204 @@
 #include "config/configuration_store.h"
 
+#include <xxhash.h>
+
+#include <algorithm>
+
 namespace lugfork {
 
+namespace {
+
+/** Versions that a peer may be behind and still get a delta. */
+constexpr std::size_t kHistoryLength = 64;
+/** Largest delta in one message, below the limit of a peer message. */
+constexpr std::size_t kMaxDeltaBytes = 48UL * 1024;
+constexpr std::size_t kResourcesPerBucket = 64;
+constexpr std::uint32_t kMinBuckets = 16;
+
+std::size_t resourceCount(const Configuration& configuration) {
+  return 1 + configuration.zones.size() + configuration.services.size() +
+         configuration.backends.size() + configuration.keys.size();
+}
+
+}  // namespace
+
+std::uint32_t bucketOf(ResourceKey key, std::uint32_t bucket_count) {
+  const std::uint64_t value = (static_cast<std::uint64_t>(key.kind) << 32) | key.id;
+  return static_cast<std::uint32_t>(XXH64(&value, sizeof(value), 0) % bucket_count);
+}
+
+BucketIndex makeBucketIndex(const ConfigurationView& view, std::uint32_t bucket_count) {
+  BucketIndex index;
+  index.keys.resize(bucket_count);
+  index.digests.resize(bucket_count);
+  for (const ResourceKey key : resourceKeys(view.document())) {
+    const std::uint32_t bucket = bucketOf(key, bucket_count);
+    index.keys[bucket].push_back(key);
+    index.digests[bucket] += resourceDigest(*encodeResource(view, key));
+  }
+  return index;
+}
+
 OfferOutcome ConfigurationStore::offer(const std::string& json_text) {
-  auto parsed = parseConfigurationDocument(json_text);
-  if (!parsed) {
-    last_problems_ = parsed.error();
-    return OfferOutcome::Invalid;
+  const std::uint64_t text_digest = XXH64(json_text.data(), json_text.size(), 0);
+  if (text_digest == last_text_digest_) {
+    return last_text_id_ == ConfigurationId() ? OfferOutcome::Invalid : weigh(last_text_id_);
   }
-  Configuration& configuration = parsed.value();
-  if (configuration.version < version()) {
-    return OfferOutcome::Older;
+  const ConfigurationId shared_id = shared_ ? shared_->findText(text_digest) : ConfigurationId();
+  ConfigurationViewPtr view = findShared(shared_id);
+  ConfigurationId id = shared_id;
+  last_text_digest_ = text_digest;
+  last_text_id_ = ConfigurationId();
+  if (view == nullptr) {
+    auto parsed = parseConfigurationDocument(json_text);
+    if (!parsed) {
+      return reject(parsed.error());
+    }
+    sortResources(parsed.value());
+    view = std::make_shared<const ConfigurationView>(std::move(parsed.value()));
+    id = {view->version(), configurationDigest(*view)};
+  }
+  last_text_id_ = id;
+  if (shared_) {
+    shared_->addText(text_digest, id);
+  }
+  const OfferOutcome outcome = weigh(id);
+  if (outcome != OfferOutcome::Adopted && outcome != OfferOutcome::ConflictAdopted) {
+    return outcome;
+  }
+  auto delta =
+      in_force_ == nullptr
+          ? nullptr
+          : std::make_shared<const ConfigurationDelta>(makeDelta(in_force_.get(), id_, *view, id));
+  return adopt(outcome, id, std::move(view), std::move(delta));
+}
+
+OfferOutcome ConfigurationStore::offerDelta(const ConfigurationDelta& delta) {
+  const OfferOutcome outcome = weigh(delta.to);
+  if (outcome != OfferOutcome::Adopted && outcome != OfferOutcome::ConflictAdopted) {
+    return outcome;
   }
-  std::string canonical = writeConfigurationDocument(configuration, SecretHandling::Include);
-  if (configuration.version > version()) {
-    adopt(std::move(configuration), std::move(canonical));
+  const bool from_empty = delta.from == ConfigurationId();
+  if (!from_empty && delta.from != id_) {
+    return OfferOutcome::BaseMissing;
+  }
+  ConfigurationViewPtr view = findShared(delta.to);
+  if (view == nullptr) {
+    auto applied = applyDelta(from_empty ? nullptr : in_force_.get(), delta.from.digest, delta);
+    if (!applied) {
+      return reject(applied.error());
+    }
+    view = std::make_shared<const ConfigurationView>(std::move(applied.value()));
+  }
+  // A delta from an empty configuration would replace all that others hold: not for the history.
+  auto kept = from_empty ? nullptr : std::make_shared<const ConfigurationDelta>(delta);
+  return adopt(outcome, delta.to, std::move(view), std::move(kept));
+}
+
+OfferOutcome ConfigurationStore::offerResources(const ConfigurationId& id,
+                                                const std::vector<ResourceRecord>& resources) {
+  // In order of the keys each resource goes to the end of its list.
+  ConfigurationDelta whole{ConfigurationId(), id, resources, {}};
+  std::sort(
+      whole.changed.begin(), whole.changed.end(),
+      [](const ResourceRecord& left, const ResourceRecord& right) { return left.key < right.key; });
+  return offerDelta(whole);
+}
+
+std::string ConfigurationStore::documentInForce() const {
+  return in_force_ == nullptr
+             ? std::string()
+             : writeConfigurationDocument(in_force_->document(), SecretHandling::Include);
+}
+
+std::optional<ConfigurationDelta> ConfigurationStore::deltaFrom(const ConfigurationId& have) const {
+  if (in_force_ == nullptr) {
+    return std::nullopt;
+  }
+  for (std::size_t start = 0; start < history_.size(); ++start) {
+    if (history_[start]->from != have) {
+      continue;
+    }
+    ConfigurationDelta merged = *history_[start];
+    for (std::size_t next = start + 1; next < history_.size(); ++next) {
+      merged = mergeDeltas(merged, *history_[next]);
+    }
+    if (estimatedBytes(merged) <= kMaxDeltaBytes) {
+      return merged;
+    }
+    break;
+  }
+  // A whole configuration of the smallest resources would exceed the limit: don't encode it.
+  constexpr std::size_t kSmallestRecordBytes = 16;
+  if (resourceCount(in_force_->document()) * kSmallestRecordBytes > kMaxDeltaBytes) {
+    return std::nullopt;
+  }
+  ConfigurationDelta whole = makeDelta(nullptr, ConfigurationId(), *in_force_, id_);
+  return estimatedBytes(whole) <= kMaxDeltaBytes ? std::optional(std::move(whole)) : std::nullopt;
+}
+
+const BucketIndex& ConfigurationStore::bucketIndex() {
+  if (bucket_index_ == nullptr) {
+    bucket_index_ = std::make_unique<BucketIndex>(
+        in_force_ == nullptr ? BucketIndex() : makeBucketIndex(*in_force_, bucketCount()));
+  }
+  return *bucket_index_;
+}
+
+std::uint32_t ConfigurationStore::bucketCount() const {
+  std::uint32_t count = kMinBuckets;
+  const std::size_t resources = in_force_ == nullptr ? 0 : resourceCount(in_force_->document());
+  while (count * kResourcesPerBucket < resources) {
+    count *= 2;
+  }
+  return count;
+}
+
+OfferOutcome ConfigurationStore::weigh(const ConfigurationId& offered) const {
+  if (offered.version > id_.version) {
     return OfferOutcome::Adopted;
   }
-  if (canonical == canonical_document_) {
+  if (offered.version < id_.version) {
+    return OfferOutcome::Older;
+  }
+  if (offered.digest == id_.digest) {
     return OfferOutcome::AlreadyInForce;
   }
-  if (canonical < canonical_document_) {
-    return OfferOutcome::ConflictKept;
+  return offered.digest > id_.digest ? OfferOutcome::ConflictAdopted : OfferOutcome::ConflictKept;
+}
+
+OfferOutcome ConfigurationStore::adopt(OfferOutcome outcome, const ConfigurationId& id,
+                                       ConfigurationViewPtr view,
+                                       std::shared_ptr<const ConfigurationDelta> delta) {
+  in_force_ = std::move(view);
+  id_ = id;
+  last_problems_.clear();
+  bucket_index_.reset();
+  if (shared_) {
+    shared_->add(id_, in_force_);
   }
-  adopt(std::move(configuration), std::move(canonical));
-  return OfferOutcome::ConflictAdopted;
+  remember(std::move(delta));
+  return outcome;
 }
 
-ConfigVersion ConfigurationStore::version() const {
-  return in_force_ == nullptr ? ConfigVersion() : in_force_->version();
+OfferOutcome ConfigurationStore::reject(DocumentProblems problems) {
+  last_problems_ = std::move(problems);
+  return OfferOutcome::Invalid;
 }
 
-void ConfigurationStore::adopt(Configuration configuration, std::string canonical_document) {
-  in_force_ = std::make_shared<const ConfigurationView>(std::move(configuration));
-  canonical_document_ = std::move(canonical_document);
-  last_problems_.clear();
+void ConfigurationStore::remember(std::shared_ptr<const ConfigurationDelta> delta) {
+  if (delta == nullptr || estimatedBytes(*delta) > kMaxDeltaBytes) {
+    history_.clear();
+    return;
+  }
+  history_.push_back(std::move(delta));
+  if (history_.size() > kHistoryLength) {
+    history_.pop_front();
+  }
+}
+
+ConfigurationViewPtr ConfigurationStore::findShared(const ConfigurationId& id) const {
+  return shared_ && id != ConfigurationId() ? shared_->find(id) : nullptr;
 }
 
 const char* toString(OfferOutcome outcome) {
@@ -51,6 +215,8 @@
       return "conflict_adopted";
     case OfferOutcome::Invalid:
       return "invalid";
+    case OfferOutcome::BaseMissing:
+      return "base_missing";
   }
   return "unknown";
 }
--- a/src/wire/message_codec.h
+++ b/src/wire/message_codec.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <array>
 #include <msgpack.hpp>
 #include <optional>
 #include <tuple>
@@ -26,6 +28,12 @@
 template <typename Tag, typename Value>
 struct IsStrongId<StrongId<Tag, Value>> : std::true_type {};
 
+/** Byte string of a fixed size. */
+template <typename T>
+struct IsByteArray : std::false_type {};
+template <std::size_t Size>
+struct IsByteArray<std::array<std::uint8_t, Size>> : std::true_type {};
+
 template <typename T>
 struct IsVector : std::false_type {};
 template <typename T>
@@ -43,7 +51,7 @@
     packer.pack(value.value());
   } else if constexpr (std::is_enum_v<T>) {
     packer.pack(static_cast<std::underlying_type_t<T>>(value));
-  } else if constexpr (std::is_same_v<T, Bytes>) {
+  } else if constexpr (std::is_same_v<T, Bytes> || IsByteArray<T>::value) {
     packer.pack_bin(static_cast<std::uint32_t>(value.size()));
     packer.pack_bin_body(reinterpret_cast<const char*>(value.data()),
                          static_cast<std::uint32_t>(value.size()));
@@ -132,6 +140,12 @@
     }
     value.assign(object.via.bin.ptr, object.via.bin.ptr + object.via.bin.size);
     return true;
+  } else if constexpr (IsByteArray<T>::value) {
+    if (object.type != msgpack::type::BIN || object.via.bin.size != value.size()) {
+      return false;
+    }
+    std::copy_n(object.via.bin.ptr, value.size(), value.begin());
+    return true;
   } else if constexpr (IsVector<T>::value) {
     return unpackVector(object, value);
   } else {
@@ -159,6 +173,28 @@
   return Bytes(buffer.data(), buffer.data() + buffer.size());
 }
 
+/** @return a struct by itself, as the array of its fields. */
+template <typename T>
+Bytes encodeStruct(const T& value) {
+  msgpack::sbuffer buffer;
+  Packer packer(buffer);
+  packValue(packer, value);
+  return Bytes(buffer.data(), buffer.data() + buffer.size());
+}
+
+/** Reads what encodeStruct wrote. @return false where the bytes are no such struct. */
+template <typename T>
+bool decodeStruct(const Bytes& bytes, T& value) {
+  try {
+    const msgpack::unpack_limit limits(bytes.size(), 0, bytes.size(), bytes.size(), 0, 8);
+    const msgpack::object_handle handle = msgpack::unpack(
+        reinterpret_cast<const char*>(bytes.data()), bytes.size(), nullptr, nullptr, limits);
+    return unpackValue(handle.get(), value);
+  } catch (const msgpack::unpack_error&) {
+    return false;
+  }
+}
+
 template <typename Variant, std::size_t Index = 0>
 Result<Variant, CodecError> decodeBody(const msgpack::object_array& array, std::uint64_t type) {
   if constexpr (Index == std::variant_size_v<Variant>) {
