Test the nodes together under faults and give changes of state their own room

Two causes found: a later report of the same state took the change's place in the queue after one transmission, and rumours of the start used up the byte budget, so that observations had no room.

Ruled out: too few transmissions (the limit was never reached) and the number of probers (two each, as assigned).

Change: a change of state stays queued until it was sent often enough and always has room for four observations in any gossip; rumours about members share what the budget leaves, load comes last. A joining node, and every node once a minute, asks a peer for the back ends that should get no new work. HollowFleet runs real nodes on the virtual clock with cuts, pauses, restarts, stale replicas and a platform that is away.

--- a/src/balancer/node.cc
+++ b/src/balancer/node.cc
@@ -8,10 +8,13 @@
 
 /** Up to this many members every report goes to every node. */
 constexpr std::size_t kSmallFleet = 32;
-/** Most bytes of observations in one message. */
-constexpr std::size_t kMaxObservationBytes = 1000;
-/** Bytes of observations that a ping or an acknowledgement may carry. */
-constexpr std::size_t kProbeObservationBytes = 4 * LoadSpread::kObservationBytes;
+/** Most bytes of load in one message. */
+constexpr std::size_t kMaxLoadBytes = 1000;
+/** Bytes of changes of state that any gossip may carry, also on an overdrawn budget. */
+constexpr std::size_t kStateBytes = 4 * LoadSpread::kObservationBytes;
+/** Most bytes of rumours about members in one message, and what it has on an overdrawn budget. */
+constexpr std::size_t kMaxRumourBytes = 400;
+constexpr std::size_t kMinRumourBytes = 100;
 /** Encoded size of a gossip header without its lists. */
 constexpr std::size_t kHeaderBytes = 80;
 /** Encoded size of a member record, names included. */
@@ -21,6 +24,9 @@
 constexpr Duration kConfirmationInterval = milliseconds(500);
 /** Shortest time between two computations of the probe assignment. */
 constexpr Duration kAssignmentInterval = seconds(1);
+/** Anti-entropy of the states of back ends: for a node that joined or missed the gossip. */
+constexpr Duration kObservationsInterval = seconds(60);
+constexpr std::uint32_t kMaxObservations = 1000;
 /** A read of the platform without an answer for this long is given up. */
 constexpr Duration kPlatformReadTimeout = seconds(10);
 
@@ -109,6 +115,7 @@
   confirmView(now);
   pushNews();
   spreadLoad(now);
+  requestObservations(now);
   probe(now);
 }
 
@@ -227,6 +234,17 @@
   membership_.onMembersReply(from, reply);
 }
 
+void Node::handle(Endpoint from, const ObservationsRequest& request) {
+  const std::size_t limit = std::min<std::size_t>(request.limit, kMaxObservations);
+  outputs_.sendPeerMessage(from, ObservationsReply{load_spread_.unhealthy(limit)});
+}
+
+void Node::handle(Endpoint, const ObservationsReply& reply) {
+  for (const BackendObservation& observation : reply.observations) {
+    onObservation(observation);
+  }
+}
+
 void Node::handle(Endpoint from, const ConfigurationRequest& request) {
   configuration_.onRequest(from, request);
 }
@@ -273,17 +291,27 @@
   GossipHeader gossip;
   gossip.sender = membership_.self();
   gossip.configuration = store_.id();
-  gossip.members = membership_.takeRumours(about);
-  const std::size_t limit =
-      scope == ObservationScope::All ? kMaxObservationBytes : kProbeObservationBytes;
-  const std::size_t base = estimatedBytes(gossip);
-  const std::size_t available = budget_.available();
-  const std::size_t room = available > base ? available - base : 0;
-  gossip.observations = load_spread_.take(scope, std::min(limit, room), audience());
+  // Changes of state always have room, then rumours about members, then load.
+  gossip.observations = load_spread_.take(ObservationScope::StateChanges, kStateBytes, audience());
+  const std::size_t rumour_room = std::min(kMaxRumourBytes, roomAfter(gossip));
+  gossip.members = membership_.takeRumours(about, std::max(kMinRumourBytes, rumour_room));
+  if (scope == ObservationScope::All) {
+    const std::size_t load_room = std::min(kMaxLoadBytes, roomAfter(gossip));
+    for (const BackendObservation& observation :
+         load_spread_.take(ObservationScope::Load, load_room, audience())) {
+      gossip.observations.push_back(observation);
+    }
+  }
   budget_.spend(estimatedBytes(gossip));
   return gossip;
 }
 
+std::size_t Node::roomAfter(const GossipHeader& gossip) {
+  const std::size_t used = estimatedBytes(gossip);
+  const std::size_t available = budget_.available();
+  return available > used ? available - used : 0;
+}
+
 ObservationAudience Node::audience() const {
   const std::size_t fleet = membership_.liveCount();
   return {fleet, isSmallFleet() ? fleet : membership_.liveInZone()};
@@ -303,7 +331,7 @@
 
 void Node::pushNews() {
   const bool urgent = push_pending_ || load_spread_.hasUrgent();
-  if (!urgent || budget_.available() == 0) {
+  if (!urgent || budget_.isExhausted()) {
     return;
   }
   push_pending_ = false;
@@ -333,6 +361,17 @@
   }
 }
 
+void Node::requestObservations(MonotonicTime now) {
+  if (now < next_observations_) {
+    return;
+  }
+  const std::vector<MemberRecord> peers = membership_.randomLive(1);
+  if (!peers.empty()) {
+    next_observations_ = now + kObservationsInterval;
+    outputs_.sendPeerMessage(peers.front().peer_address, ObservationsRequest{kMaxObservations});
+  }
+}
+
 void Node::probe(MonotonicTime now) {
   if (store_.inForce() == nullptr) {
     return;
--- a/src/balancer/node.h
+++ b/src/balancer/node.h
@@ -131,6 +131,8 @@
   void handle(Endpoint from, const GossipPush& push);
   void handle(Endpoint from, const MembersRequest& request);
   void handle(Endpoint from, const MembersReply& reply);
+  void handle(Endpoint from, const ObservationsRequest& request);
+  void handle(Endpoint from, const ObservationsReply& reply);
   void handle(Endpoint from, const ConfigurationRequest& request);
   void handle(Endpoint from, const ConfigurationDelta& delta);
   void handle(Endpoint from, const ConfigurationSummary& summary);
@@ -140,12 +142,15 @@
   void onGossip(Endpoint from, const GossipHeader& gossip);
   void onObservation(const BackendObservation& observation);
   GossipHeader makeGossip(const MemberRecord* about, ObservationScope scope);
+  /** @return bytes that the budget leaves for more in a message. */
+  std::size_t roomAfter(const GossipHeader& gossip);
   ObservationAudience audience() const;
   bool isSmallFleet() const;
 
   void confirmView(MonotonicTime now);
   void pushNews();
   void spreadLoad(MonotonicTime now);
+  void requestObservations(MonotonicTime now);
   void probe(MonotonicTime now);
   void updateAssignment(MonotonicTime now);
 
@@ -167,6 +172,7 @@
   ControlBudget budget_;
   MonotonicTime next_gossip_;
   MonotonicTime next_confirmation_;
+  MonotonicTime next_observations_;
   MonotonicTime next_assignment_;
   /** Earliest read of the platform without an answer; unset if none is under way. */
   MonotonicTime platform_requested_at_;
--- a/src/cluster/control_budget.h
+++ b/src/cluster/control_budget.h
@@ -19,6 +19,12 @@
   /** Takes bytes; what must be sent may overdraw the budget. */
   void spend(std::size_t bytes) { available_ -= static_cast<double>(bytes); }
 
+  /** @return true if urgent messages must wait as well: the debt has reached its limit. */
+  bool isExhausted() {
+    static_cast<void>(available());
+    return available_ < -kDebtSeconds * rate_;
+  }
+
   /** @return bytes that may be spent now. */
   std::size_t available() {
     const MonotonicTime now = time_source_.monotonicTime();
@@ -30,6 +36,8 @@
 
  private:
   static constexpr double kBurstSeconds = 2;
+  /** Debt that urgent messages may run up, in seconds of the rate. */
+  static constexpr double kDebtSeconds = 2;
 
   const double rate_;
   const TimeSource& time_source_;
--- a/src/cluster/load_spread.cc
+++ b/src/cluster/load_spread.cc
@@ -12,6 +12,10 @@
 /** Reports from the future, beyond this clock skew, are taken as of now. */
 constexpr std::uint64_t kMaxSkewMilliseconds = 1000;
 
+bool isHealthy(const BackendObservation& observation) {
+  return observation.report.reachable && !observation.report.draining && !observation.own_word;
+}
+
 std::uint64_t startedAt(const BackendReport& report) {
   return report.measured_at_ms - std::min<std::uint64_t>(report.measured_at_ms, report.uptime_ms);
 }
@@ -27,8 +31,8 @@
     Entry& entry = entries_[taken.report.backend];
     entry.observation = taken;
     entry.baseline = taken.report;
-    const bool healthy = taken.report.reachable && !taken.report.draining && !taken.own_word;
-    queue(entry, healthy ? ObservationPriority::LoadChange : ObservationPriority::StateChange);
+    queue(entry,
+          isHealthy(taken) ? ObservationPriority::LoadChange : ObservationPriority::StateChange);
     return true;
   }
   Entry& entry = found->second;
@@ -50,8 +54,11 @@
   const ObservationPriority priority = classify(entry, taken);
   const MonotonicTime now = time_source_.monotonicTime();
   const bool refresh_due = now - entry.queued_at >= settings_.refresh_interval;
+  const bool changed = priority == ObservationPriority::StateChange;
   entry.observation = taken;
-  if (priority != ObservationPriority::Refresh || refresh_due) {
+  // A change of state that is still on its way goes on with the newer report.
+  if (changed ||
+      (!entry.state_pending && (priority != ObservationPriority::Refresh || refresh_due))) {
     queue(entry, priority);
   }
   return true;
@@ -81,9 +88,11 @@
   const auto lifetime_ms = static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(settings_.report_lifetime).count());
   for (auto& [backend, entry] : entries_) {
+    const bool state = entry.priority == ObservationPriority::StateChange;
     const bool in_scope =
-        scope == ObservationScope::All || entry.priority == ObservationPriority::StateChange;
+        scope == ObservationScope::All || state == (scope == ObservationScope::StateChanges);
     const bool unsent = entry.transmissions < transmissionLimit(entry.priority, audience);
+    entry.state_pending = entry.state_pending && unsent;
     const bool current = entry.observation.report.measured_at_ms + lifetime_ms > now_ms;
     if (in_scope && unsent && (current || entry.observation.own_word)) {
       candidates.push_back(&entry);
@@ -111,6 +120,21 @@
   return found == entries_.end() ? nullptr : &found->second.observation;
 }
 
+std::vector<BackendObservation> LoadSpread::unhealthy(std::size_t limit) const {
+  std::vector<BackendObservation> found;
+  for (const auto& [backend, entry] : entries_) {
+    if (!isHealthy(entry.observation)) {
+      found.push_back(entry.observation);
+    }
+  }
+  std::sort(found.begin(), found.end(),
+            [](const BackendObservation& left, const BackendObservation& right) {
+              return left.report.backend < right.report.backend;
+            });
+  found.resize(std::min(found.size(), limit));
+  return found;
+}
+
 bool LoadSpread::showsRestart(const BackendReport& report, const BackendReport& known) {
   // Start times of one process differ by the delay of the probes and the clocks' skew.
   return report.reachable && startedAt(report) > known.measured_at_ms;
@@ -126,11 +150,6 @@
   if (state_changed) {
     return ObservationPriority::StateChange;
   }
-  const bool state_unsent =
-      entry.priority == ObservationPriority::StateChange && entry.transmissions == 0;
-  if (state_unsent) {
-    return ObservationPriority::StateChange;
-  }
   const bool significant = isSignificant(entry.baseline.open_connections, after.open_connections) ||
                            isSignificant(entry.baseline.busy_slots + entry.baseline.queued_requests,
                                          after.busy_slots + after.queued_requests);
@@ -158,6 +177,7 @@
 void LoadSpread::queue(Entry& entry, ObservationPriority priority) {
   entry.priority = priority;
   entry.transmissions = 0;
+  entry.state_pending = priority == ObservationPriority::StateChange;
   entry.queued_at = time_source_.monotonicTime();
   entry.baseline = entry.observation.report;
   urgent_ = urgent_ || priority == ObservationPriority::StateChange;
--- a/src/cluster/load_spread.h
+++ b/src/cluster/load_spread.h
@@ -23,10 +23,11 @@
 /** Order in which observations compete for the bytes of a message. */
 enum class ObservationPriority { StateChange, LoadChange, Refresh };
 
-/** Which observations fit a receiver. */
+/** Which observations a message is for. */
 enum class ObservationScope {
-  /** Changes of state only: for receivers of other zones on a busy budget. */
   StateChanges,
+  /** Load only, for what a message has room for besides. */
+  Load,
   All,
 };
 
@@ -63,6 +64,9 @@
   std::vector<BackendObservation> take(ObservationScope scope, std::size_t bytes,
                                        const ObservationAudience& audience);
 
+  /** @return what is known of back ends that should get no new work, at most the given number. */
+  std::vector<BackendObservation> unhealthy(std::size_t limit) const;
+
   /** @return true if a change of state waits to be sent for the first time. */
   bool hasUrgent() const { return urgent_; }
   void clearUrgent() { urgent_ = false; }
@@ -81,6 +85,8 @@
     BackendReport baseline;
     ObservationPriority priority = ObservationPriority::StateChange;
     std::uint32_t transmissions = 0;
+    /** A change of state has not been sent often enough yet. */
+    bool state_pending = false;
     MonotonicTime queued_at;
   };
 
--- a/src/cluster/membership.cc
+++ b/src/cluster/membership.cc
@@ -68,9 +68,9 @@
 }
 
 void Membership::onGossip(const GossipHeader& gossip) {
-  onRecord(gossip.sender);
+  onRecord(gossip.sender, PassOn::Yes);
   for (const MemberRecord& record : gossip.members) {
-    onRecord(record);
+    onRecord(record, PassOn::Yes);
   }
 }
 
@@ -105,7 +105,7 @@
 
 void Membership::onMembersReply(Endpoint from, const MembersReply& reply) {
   for (const MemberRecord& record : reply.members) {
-    onRecord(record);
+    onRecord(record, PassOn::No);
   }
   if (reply.next_index != 0) {
     host_.sendMembersRequest(from, reply.next_index);
@@ -141,12 +141,12 @@
   addRumour(nodeIdFromName(self_.name));
 }
 
-std::vector<MemberRecord> Membership::takeRumours(const MemberRecord* about) {
+std::vector<MemberRecord> Membership::takeRumours(const MemberRecord* about, std::size_t bytes) {
   std::vector<MemberRecord> taken;
-  std::size_t bytes = 0;
+  std::size_t used = 0;
   if (about != nullptr && about->state != MemberState::Alive) {
     taken.push_back(*about);
-    bytes += encodedBytes(*about);
+    used += encodedBytes(*about);
   }
   const auto less_sent = [](const Rumour& left, const Rumour& right) {
     return left.transmissions < right.transmissions;
@@ -155,10 +155,10 @@
   for (Rumour& rumour : rumours_) {
     const std::size_t index = indexOf(rumour.about);
     const MemberRecord& record = index == kNoIndex ? self_ : members_[index];
-    if (bytes + encodedBytes(record) > settings_.rumour_bytes) {
+    if (used + encodedBytes(record) > bytes) {
       break;
     }
-    bytes += encodedBytes(record);
+    used += encodedBytes(record);
     ++rumour.transmissions;
     taken.push_back(record);
   }
@@ -167,7 +167,7 @@
   // Anti-entropy: one member at random tells the receiver what a lost rumour did not.
   if (!members_.empty()) {
     const MemberRecord& record = members_[random_.below(members_.size())];
-    const bool fits = bytes + encodedBytes(record) <= settings_.rumour_bytes;
+    const bool fits = used + encodedBytes(record) <= bytes;
     if (record.state != MemberState::Dead && fits) {
       taken.push_back(record);
     }
@@ -200,7 +200,7 @@
   return chosen;
 }
 
-void Membership::onRecord(const MemberRecord& record) {
+void Membership::onRecord(const MemberRecord& record, PassOn pass_on) {
   if (record.name == self_.name) {
     refute(record);
     return;
@@ -208,10 +208,10 @@
   const std::size_t index = indexOf(nodeIdFromName(record.name));
   if (index != kNoIndex) {
     if (supersedes(record, members_[index])) {
-      change(members_[index], record);
+      change(members_[index], record, pass_on);
     }
   } else if (record.state != MemberState::Dead) {
-    insert(record);
+    insert(record, pass_on);
   }
 }
 
@@ -226,7 +226,7 @@
              {{"state", toString(record.state)}, {"incarnation", self_.incarnation}});
 }
 
-void Membership::insert(const MemberRecord& record) {
+void Membership::insert(const MemberRecord& record, PassOn pass_on) {
   const NodeId id = nodeIdFromName(record.name);
   index_[id] = members_.size();
   members_.push_back(record);
@@ -236,20 +236,22 @@
   if (record.state == MemberState::Suspect) {
     suspected_at_[id] = time_source_.monotonicTime();
   }
-  addRumour(id);
+  if (pass_on == PassOn::Yes) {
+    addRumour(id);
+  }
   host_.onMemberChanged(record, MemberState::Dead);
 }
 
-void Membership::change(MemberRecord& member, const MemberRecord& record) {
+void Membership::change(MemberRecord& member, const MemberRecord& record, PassOn pass_on) {
   countLive(member, false);
   member.zone = record.zone;
   member.peer_address = record.peer_address;
   member.incarnation = record.incarnation;
   countLive(member, true);
-  setState(member, record.state);
+  setState(member, record.state, pass_on);
 }
 
-void Membership::setState(MemberRecord& member, MemberState state) {
+void Membership::setState(MemberRecord& member, MemberState state, PassOn pass_on) {
   const NodeId id = nodeIdFromName(member.name);
   const MemberState previous = member.state;
   countLive(member, false);
@@ -262,7 +264,9 @@
   } else if (state == MemberState::Dead) {
     dead_since_[id] = time_source_.monotonicTime();
   }
-  addRumour(id);
+  if (pass_on == PassOn::Yes) {
+    addRumour(id);
+  }
   if (state != previous) {
     host_.onMemberChanged(member, previous);
   }
@@ -285,6 +289,13 @@
     found->transmissions = 0;
     return;
   }
+  if (rumours_.size() >= settings_.max_rumours) {
+    const auto most_sent = std::max_element(rumours_.begin(), rumours_.end(),
+                                            [](const Rumour& left, const Rumour& right) {
+                                              return left.transmissions < right.transmissions;
+                                            });
+    rumours_.erase(most_sent);
+  }
   rumours_.push_back({about, 0});
 }
 
@@ -313,7 +324,7 @@
     if (index != kNoIndex && members_[index].state < MemberState::Suspect) {
       log_.write(LogLevel::Warn, "membership", "member_suspected",
                  {{"member", members_[index].name}});
-      setState(members_[index], MemberState::Suspect);
+      setState(members_[index], MemberState::Suspect, PassOn::Yes);
     }
   }
   probe_.reset();
@@ -345,7 +356,7 @@
   for (const NodeId id : expired) {
     MemberRecord& member = members_[indexOf(id)];
     log_.write(LogLevel::Warn, "membership", "member_dead", {{"member", member.name}});
-    setState(member, MemberState::Dead);
+    setState(member, MemberState::Dead, PassOn::Yes);
   }
 }
 
--- a/src/cluster/membership.h
+++ b/src/cluster/membership.h
@@ -23,8 +23,8 @@
   double suspicion_factor = 4;
   /** A rumour is sent this factor times log2(members) times. */
   double retransmit_factor = 3;
-  /** Bytes of rumours in one message. */
-  std::size_t rumour_bytes = 400;
+  /** Rumours waiting at a time; beyond it the most sent one is dropped. */
+  std::size_t max_rumours = 256;
   /** A member believed dead, or a seed that is no member yet, is tried in each interval. */
   Duration reconnect_interval = seconds(5);
   /** Interval of the same while no member is known. */
@@ -91,8 +91,12 @@
   /** Announces that this node is leaving. */
   void startLeaving();
 
-  /** Takes rumours for one message, the least sent first; about is the receiver if known. */
-  std::vector<MemberRecord> takeRumours(const MemberRecord* about);
+  /**
+   * Takes rumours for one message, the least sent first.
+   * @param about the receiver if it is a member: it hears first what is said of itself.
+   * @param bytes room in the message.
+   */
+  std::vector<MemberRecord> takeRumours(const MemberRecord* about, std::size_t bytes);
 
   const MemberRecord& self() const { return self_; }
 
@@ -134,11 +138,14 @@
     std::uint32_t transmissions = 0;
   };
 
-  void onRecord(const MemberRecord& record);
+  /** Whether a record is passed on as a rumour: those of a member list are known already. */
+  enum class PassOn { Yes, No };
+
+  void onRecord(const MemberRecord& record, PassOn pass_on);
   void refute(const MemberRecord& record);
-  void insert(const MemberRecord& record);
-  void change(MemberRecord& member, const MemberRecord& record);
-  void setState(MemberRecord& member, MemberState state);
+  void insert(const MemberRecord& record, PassOn pass_on);
+  void change(MemberRecord& member, const MemberRecord& record, PassOn pass_on);
+  void setState(MemberRecord& member, MemberState state, PassOn pass_on);
   void countLive(const MemberRecord& member, bool added);
   void addRumour(NodeId about);
   void probeNext();
--- a/src/cluster/probe_assignment.cc
+++ b/src/cluster/probe_assignment.cc
@@ -75,7 +75,7 @@
   }
   const Duration step = interval() / static_cast<std::int64_t>(backends_.size());
   // After a pause the schedule starts anew instead of catching up.
-  next_at_ = std::max(next_at_, now - interval());
+  next_at_ = std::max(next_at_, now - std::min<Duration>(interval(), seconds(1)));
   while (next_at_ <= now && due.size() < backends_.size()) {
     next_at_ += step;
     next_ = (next_ + 1) % backends_.size();
--- /dev/null
+++ b/src/sim/hollow_fleet.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "balancer/node.h"
+#include "sim/simulated_network.h"
+
+namespace lugfork {
+
+/** SharedConfigurations for the hollow nodes of one process. */
+class SharedConfigurationCache : public SharedConfigurations {
+ public:
+  ConfigurationViewPtr find(const ConfigurationId& id) const override;
+  ConfigurationId findText(std::uint64_t text_digest) const override;
+  void add(const ConfigurationId& id, ConfigurationViewPtr view) override;
+  void addText(std::uint64_t text_digest, const ConfigurationId& id) override;
+
+ private:
+  std::map<ConfigurationId, ConfigurationViewPtr> views_;
+  std::map<std::uint64_t, ConfigurationId> texts_;
+};
+
+/** Sizes and timing of a fleet of hollow nodes. */
+struct HollowFleetSettings {
+  std::size_t nodes = 3;
+  std::size_t backends = 19;
+  std::size_t services = 2;
+  std::size_t zones = 3;
+  std::uint64_t seed = 1;
+  Duration tick = milliseconds(100);
+  LinkSettings links;
+  /** Nodes take configurations that another one built; needed for large ones only. */
+  bool share_configurations = false;
+  /** Decode each message at its receiver, for honest figures of processor time. */
+  bool decode_messages = false;
+  /** Settings of each node, but for its name, zone and address. */
+  NodeSettings node;
+};
+
+/** What one hollow node sent and received, all lives together. */
+struct HollowNodeCounters {
+  std::uint64_t messages_sent = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+  std::uint64_t largest_message = 0;
+  std::uint64_t platform_reads = 0;
+  std::uint64_t probes = 0;
+};
+
+/**
+ * Many real Nodes in one process on a virtual clock, with a platform and back ends that answer
+ * probes; no data path. For the spread of knowledge and its cost.
+ */
+class HollowFleet {
+ public:
+  explicit HollowFleet(HollowFleetSettings settings);
+  ~HollowFleet();
+
+  /** @return a configuration of the sizes given, with version 1. */
+  static Configuration makeConfiguration(const HollowFleetSettings& settings);
+
+  std::size_t size() const;
+  void start(std::size_t index);
+  void startAll();
+
+  /** Gives every node the list of all members, as if the fleet had run for long. */
+  void introduceAll();
+  void kill(std::size_t index);
+  void pause(std::size_t index);
+  void resume(std::size_t index);
+  void run(Duration duration) { queue_.runFor(duration); }
+
+  /** Runs in small steps until the condition holds. @return the time it took, or the limit. */
+  Duration runUntil(const std::function<bool()>& condition, Duration limit);
+
+  /** @return the node of this life; nullptr while it is dead. */
+  Node* node(std::size_t index);
+  const Node* node(std::size_t index) const;
+  const HollowNodeCounters& counters(std::size_t index) const;
+  static std::string nodeName(std::size_t index);
+  std::string zoneOf(std::size_t index) const;
+  MonotonicTime now() const { return queue_.now(); }
+
+  /** Publishes a configuration at the platform. */
+  void publish(const Configuration& configuration);
+
+  /** Makes one zone's reads of the platform see another text: a stale replica. */
+  void setReplica(const std::string& zone, const std::string& text) { replicas_[zone] = text; }
+  void clearReplicas() { replicas_.clear(); }
+  const std::string& platformText() const { return platform_text_; }
+
+  /** Lets a zone, or every zone where empty, reach the platform or not. */
+  void setPlatformReachable(const std::string& zone, bool reachable);
+
+  /** Cuts a zone off from all other zones, both ways. */
+  void cutZone(const std::string& zone);
+  void heal() { network_.healAll(); }
+  SimulatedNetwork& network() { return network_; }
+
+  /** The platform's machine list; all nodes at first. */
+  std::vector<Machine>& machineList() { return machines_; }
+  Machine machineOf(std::size_t index) const;
+
+  /** Makes a back end answer probes as draining or not at all. */
+  void setDraining(BackendId backend) { draining_.insert(backend); }
+  void setUnreachable(BackendId backend) { unreachable_.insert(backend); }
+
+  /** @return true if all running nodes have that version in force. */
+  bool allHaveVersion(ConfigVersion version) const;
+  /** @return true if all running nodes believe that of the other node. */
+  bool allBelieve(std::size_t index, MemberState state) const;
+  /** @return true if no running node places on the back end any more. */
+  bool allKnowDraining(const Backend& backend) const;
+  /** @return times that a node's version in force went down within one life. */
+  std::uint64_t configurationReverts() const { return reverts_; }
+
+ private:
+  class HollowNode;
+
+  bool platformReachable(const std::string& zone) const;
+  const std::string& platformTextFor(const std::string& zone) const;
+  BackendReport reportOf(const Backend& backend, const TimeSource& time_source) const;
+  void noteVersion(std::size_t index, ConfigVersion version);
+
+  const HollowFleetSettings settings_;
+  EventQueue queue_;
+  std::unique_ptr<RandomGenerator> random_;
+  SimulatedNetwork network_;
+  NullEventLog log_;
+  std::shared_ptr<SharedConfigurationCache> shared_;
+  std::vector<std::unique_ptr<HollowNode>> nodes_;
+  std::vector<Machine> machines_;
+  std::string platform_text_;
+  std::map<std::string, std::string> replicas_;
+  std::set<std::string> cut_from_platform_;
+  std::set<BackendId> draining_;
+  std::set<BackendId> unreachable_;
+  std::vector<ConfigVersion> versions_;
+  std::uint64_t reverts_ = 0;
+};
+
+}  // namespace lugfork
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -105,6 +105,19 @@
   auto fields() { return std::tie(members, next_index); }
 };
 
+/** Asks for the back ends that the peer believes should get no new work. */
+struct ObservationsRequest {
+  /** Most observations that the sender takes. */
+  std::uint32_t limit = 0;
+  auto fields() { return std::tie(limit); }
+};
+
+/** Answers an ObservationsRequest. */
+struct ObservationsReply {
+  std::vector<BackendObservation> observations;
+  auto fields() { return std::tie(observations); }
+};
+
 /** Kind of a configuration resource. */
 enum class ResourceKind : std::uint8_t {
   System = 0,
@@ -169,8 +182,9 @@
   auto fields() { return std::tie(configuration, buckets, resources); }
 };
 
-using PeerMessage = std::variant<Ping, PingAck, PingRequest, GossipPush, MembersRequest,
-                                 MembersReply, ConfigurationRequest, ConfigurationDelta,
-                                 ConfigurationSummary, BucketRequest, BucketReply>;
+using PeerMessage =
+    std::variant<Ping, PingAck, PingRequest, GossipPush, MembersRequest, MembersReply,
+                 ObservationsRequest, ObservationsReply, ConfigurationRequest, ConfigurationDelta,
+                 ConfigurationSummary, BucketRequest, BucketReply>;
 
 }  // namespace lugfork
--- /dev/null
+++ b/tests/cluster/fleet_fixture.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "sim/hollow_fleet.h"
+
+namespace lugfork {
+
+/** Names a kind of fault in the tables of tests. */
+inline constexpr Duration kSettleTime = seconds(8);
+
+/** A fleet that has run long enough for every node to have joined. */
+inline std::unique_ptr<HollowFleet> settledFleet(HollowFleetSettings settings) {
+  auto fleet = std::make_unique<HollowFleet>(std::move(settings));
+  fleet->startAll();
+  fleet->run(kSettleTime);
+  return fleet;
+}
+
+/** @return the fleet's configuration with another version and one back end marked as draining. */
+inline Configuration changedConfiguration(const HollowFleetSettings& settings,
+                                          std::uint64_t version, std::size_t draining_backend) {
+  Configuration configuration = HollowFleet::makeConfiguration(settings);
+  configuration.version = ConfigVersion(version);
+  configuration.backends[draining_backend].draining = true;
+  return configuration;
+}
+
+inline std::string documentOf(const Configuration& configuration) {
+  return writeConfigurationDocument(configuration, SecretHandling::Include);
+}
+
+/** @return how many nodes place new flows now. */
+inline std::size_t placingNodes(HollowFleet& fleet) {
+  std::size_t count = 0;
+  for (std::size_t index = 0; index < fleet.size(); ++index) {
+    Node* node = fleet.node(index);
+    count += node != nullptr && node->placementBlockedBy() == Reason::None ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/tests/cluster/membership_faults_test.cc
@@ -0,0 +1,112 @@
+#include <catch2/catch.hpp>
+
+#include "cluster/fleet_fixture.h"
+
+namespace lugfork {
+namespace {
+
+HollowFleetSettings fleetOf(std::size_t nodes) {
+  HollowFleetSettings settings;
+  settings.nodes = nodes;
+  return settings;
+}
+
+TEST_CASE(
+    "all nodes find each other although the platform's list is short and holds a dead entry") {
+  HollowFleet fleet(fleetOf(6));
+  fleet.machineList().erase(fleet.machineList().begin() + 2, fleet.machineList().end());
+  Machine dead = fleet.machineOf(0);
+  dead.name = "gone";
+  dead.peer_address.port = 9;
+  fleet.machineList().push_back(dead);
+  fleet.startAll();
+  fleet.run(seconds(20));
+  for (std::size_t index = 0; index < fleet.size(); ++index) {
+    CHECK(fleet.node(index)->clusterStatus().live_members == 5);
+    CHECK(fleet.node(index)->membership().member("gone") == nullptr);
+  }
+}
+
+TEST_CASE("the platform's list alone neither kills a live member nor revives a dead one") {
+  auto fleet = settledFleet(fleetOf(5));
+  fleet->machineList().clear();
+  fleet->run(seconds(20));
+  CHECK(fleet->node(0)->clusterStatus().live_members == 4);
+  fleet->machineList().push_back(fleet->machineOf(4));
+  fleet->kill(4);
+  const auto known_dead = [&] { return fleet->allBelieve(4, MemberState::Dead); };
+  CHECK(fleet->runUntil(known_dead, seconds(60)) < seconds(15));
+  fleet->run(seconds(30));
+  CHECK(known_dead());
+}
+
+TEST_CASE("a restarted node is a member again under a new incarnation") {
+  auto fleet = settledFleet(fleetOf(5));
+  const std::uint64_t before = fleet->node(0)->membership().member("node-5")->incarnation;
+  fleet->kill(4);
+  fleet->run(seconds(20));
+  REQUIRE(fleet->allBelieve(4, MemberState::Dead));
+  fleet->start(4);
+  const auto alive = [&] { return fleet->allBelieve(4, MemberState::Alive); };
+  CHECK(fleet->runUntil(alive, seconds(60)) < seconds(10));
+  CHECK(fleet->node(0)->membership().member("node-5")->incarnation > before);
+}
+
+TEST_CASE("a false suspicion is refuted and kills nobody") {
+  auto fleet = settledFleet(fleetOf(6));
+  GossipHeader rumour;
+  rumour.sender = fleet->node(1)->membership().self();
+  rumour.members.push_back(fleet->node(2)->membership().self());
+  rumour.members.back().state = MemberState::Suspect;
+  fleet->node(0)->onPeerMessage(fleet->machineOf(1).peer_address, GossipPush{rumour});
+  REQUIRE(fleet->node(0)->membership().member("node-3")->state == MemberState::Suspect);
+  const auto alive = [&] { return fleet->allBelieve(2, MemberState::Alive); };
+  CHECK(fleet->runUntil(alive, seconds(30)) < seconds(8));
+  fleet->run(seconds(20));
+  CHECK(alive());
+}
+
+TEST_CASE("a node that only one other node can't reach stays alive through indirect probes") {
+  auto fleet = settledFleet(fleetOf(6));
+  fleet->network().cut("node-1", "node-2");
+  fleet->network().cut("node-2", "node-1");
+  fleet->run(seconds(60));
+  CHECK(fleet->allBelieve(0, MemberState::Alive));
+  CHECK(fleet->allBelieve(1, MemberState::Alive));
+}
+
+TEST_CASE("a zone that was believed dead is alive again after the cut") {
+  auto fleet = settledFleet(fleetOf(9));
+  fleet->cutZone("zone-2");
+  fleet->run(seconds(60));
+  CHECK(fleet->node(0)->membership().member("node-2")->state == MemberState::Dead);
+  fleet->heal();
+  fleet->run(seconds(30));
+  for (std::size_t index = 0; index < fleet->size(); ++index) {
+    CHECK(fleet->node(index)->clusterStatus().live_members == 8);
+  }
+}
+
+TEST_CASE("a third of the nodes restarted at once settles without a false death") {
+  auto fleet = settledFleet(fleetOf(30));
+  for (std::size_t index = 0; index < 30; index += 3) {
+    fleet->kill(index);
+    fleet->start(index);
+  }
+  fleet->run(seconds(15));
+  for (std::size_t index = 0; index < fleet->size(); ++index) {
+    CHECK(fleet->node(index)->clusterStatus().live_members == 29);
+    CHECK(fleet->node(index)->placementBlockedBy() == Reason::None);
+  }
+}
+
+TEST_CASE("a planned stop is known everywhere at once and the node places nothing more") {
+  auto fleet = settledFleet(fleetOf(30));
+  fleet->node(7)->startLeaving();
+  CHECK(fleet->node(7)->placementBlockedBy() != Reason::None);
+  const auto leaving = [&] { return fleet->allBelieve(7, MemberState::Leaving); };
+  CHECK(fleet->runUntil(leaving, seconds(30)) < seconds(4));
+}
+
+}  // namespace
+}  // namespace lugfork
--- /dev/null
+++ b/tests/cluster/view_lease_test.cc
@@ -0,0 +1,139 @@
+#include "cluster/view_lease.h"
+
+#include <catch2/catch.hpp>
+
+#include "cluster/fleet_fixture.h"
+
+namespace lugfork {
+namespace {
+
+HollowFleetSettings sixNodes(bool lease_enabled) {
+  HollowFleetSettings settings;
+  settings.nodes = 6;
+  settings.node.lease.enabled = lease_enabled;
+  return settings;
+}
+
+/** A back end drains while one node is paused; @return whether that node would still use it. */
+bool placesOnDrainedBackendAfterWaking(bool lease_enabled) {
+  const HollowFleetSettings settings = sixNodes(lease_enabled);
+  auto fleet = settledFleet(settings);
+  const Backend backend = HollowFleet::makeConfiguration(settings).backends[0];
+  fleet->pause(3);
+  fleet->run(seconds(30));
+  fleet->setDraining(backend.id);
+  fleet->run(seconds(30));
+  // A caller's datagram is the first thing that the woken process handles.
+  const Node& node = *fleet->node(3);
+  return node.placementBlockedBy() == Reason::None && node.loads().mayPlace(backend);
+}
+
+TEST_CASE("a process that wakes from a pause places nothing on its old view") {
+  CHECK_FALSE(placesOnDrainedBackendAfterWaking(true));
+  // The harm that the lease prevents.
+  CHECK(placesOnDrainedBackendAfterWaking(false));
+}
+
+TEST_CASE("a woken process has a fresh view again within two seconds") {
+  auto fleet = settledFleet(sixNodes(true));
+  fleet->pause(3);
+  fleet->run(seconds(60));
+  fleet->resume(3);
+  CHECK(fleet->node(3)->placementBlockedBy() == Reason::ViewNotFresh);
+  const auto placing = [&] { return fleet->node(3)->placementBlockedBy() == Reason::None; };
+  CHECK(fleet->runUntil(placing, seconds(30)) <= seconds(2));
+  CHECK(fleet->node(3)->clusterStatus().view == ViewState::Fresh);
+}
+
+/** Clock that tests set. */
+class ManualTimeSource : public TimeSource {
+ public:
+  MonotonicTime monotonicTime() const override { return now; }
+  SystemTime systemTime() const override { return SystemTime(now.time_since_epoch()); }
+  MonotonicTime now{seconds(100)};
+};
+
+TEST_CASE("an answer that waited through the pause does not renew the lease") {
+  ManualTimeSource clock;
+  ViewLease lease(ViewLeaseSettings(), clock);
+  const MonotonicTime requested_at = clock.now;
+  clock.now += seconds(20);
+  lease.onConfirmed(requested_at);
+  CHECK(lease.state() == ViewState::Stale);
+  CHECK(lease.onTick());
+  lease.onConfirmed(clock.now);
+  CHECK(lease.state() == ViewState::Fresh);
+}
+
+struct IsolationCase {
+  const char* name;
+  bool peers_reachable;
+  bool platform_reachable;
+  ViewState expected;
+};
+
+TEST_CASE("a node alone goes on after a bounded wait and says so") {
+  const std::vector<IsolationCase> cases = {
+      {"peers and platform", true, true, ViewState::Fresh},
+      {"peers only", true, false, ViewState::Fresh},
+      {"platform only", false, true, ViewState::Fresh},
+      {"alone", false, false, ViewState::Degraded},
+  };
+  for (const IsolationCase& test : cases) {
+    INFO(test.name);
+    HollowFleetSettings settings;
+    settings.nodes = 3;
+    auto fleet = settledFleet(settings);
+    if (!test.peers_reachable) {
+      fleet->cutZone("zone-1");
+    }
+    fleet->setPlatformReachable("zone-1", test.platform_reachable);
+    fleet->run(seconds(30));
+    CHECK(fleet->node(0)->clusterStatus().view == test.expected);
+    CHECK(fleet->node(0)->placementBlockedBy() == Reason::None);
+  }
+}
+
+struct JoinCase {
+  const char* name;
+  bool peers_running;
+  bool platform_reachable;
+  bool places;
+  JoinState expected;
+};
+
+TEST_CASE("a started node places once it knows enough, or after a bounded wait as degraded") {
+  const std::vector<JoinCase> cases = {
+      {"peers and platform", true, true, true, JoinState::Joined},
+      {"peers only", true, false, true, JoinState::Joined},
+      {"platform only", false, true, true, JoinState::Degraded},
+      {"nothing", false, false, false, JoinState::Joining},
+  };
+  for (const JoinCase& test : cases) {
+    INFO(test.name);
+    HollowFleetSettings settings;
+    settings.nodes = 4;
+    HollowFleet fleet(settings);
+    if (test.peers_running) {
+      fleet.start(1);
+      fleet.start(2);
+      fleet.start(3);
+      fleet.run(kSettleTime);
+    }
+    // The list is still read; the configuration is not.
+    fleet.start(0);
+    CHECK(fleet.node(0)->placementBlockedBy() == Reason::Joining);
+    fleet.run(milliseconds(300));
+    fleet.setPlatformReachable("", test.platform_reachable);
+    if (!test.platform_reachable && !test.peers_running) {
+      fleet.kill(0);
+      fleet.start(0);
+    }
+    fleet.run(seconds(20));
+    CHECK(fleet.node(0)->clusterStatus().join == test.expected);
+    CHECK((fleet.node(0)->placementBlockedBy() == Reason::None) == test.places);
+  }
+}
+
+}  // namespace
+}  // namespace lugfork
--- a/tests/wire/peer_codec_test.cc
+++ b/tests/wire/peer_codec_test.cc
@@ -25,6 +25,8 @@
       GossipPush{someGossip()},
       MembersRequest{500},
       MembersReply{{kMember}, 1000},
+      ObservationsRequest{100},
+      ObservationsReply{someGossip().observations},
       ConfigurationRequest{older},
       ConfigurationDelta{older, newer, {record}, {{ResourceKind::Zone, 4}}},
       ConfigurationSummary{newer, {11, 12}},
