Run whole fleets under fault tables and storms, and count broken promises

Cause: the simulation kernel had never run; nothing could show that a promise holds. Change: Fleet (balancers, back ends, platform replicas, fabric with a health lag), FaultInjector, CallGenerator, PromiseChecker over recorded observations only, scenarios of both users, storms by seed, the two baseline routers on the same view, and 'lugfork-sim run'. A reply to a request no longer reaches a later life of the client's process. Not tuned, not proved yet.

--- a/src/client/caller_flow.h
+++ b/src/client/caller_flow.h
@@ -83,6 +83,9 @@
   /** @return the result once the call has ended. */
   const std::optional<CallResult>& result() const { return result_; }
 
+  /** @return true while the next attempt waits for its time. */
+  bool isBackingOff() const { return state_ == State::BackingOff; }
+
   /** @return why the last attempt was refused or reset. */
   Reason lastReason() const { return last_reason_; }
 
--- /dev/null
+++ b/src/sim/fault_injector.cc
@@ -0,0 +1,402 @@
+#include "sim/fault_injector.h"
+
+namespace lugfork {
+
+namespace {
+
+/** Time for which a stopping balancer goes on relaying. */
+constexpr Duration kLeaveTime = seconds(2);
+constexpr Duration kEmptyCheckInterval = milliseconds(100);
+/** A back end that stands still for longer can't be told from a dead one by its callers. */
+constexpr Duration kLongestHarmlessPause = seconds(2);
+constexpr Duration kColdStartTime = seconds(10);
+constexpr Duration kRaceTime = seconds(2);
+
+}  // namespace
+
+void FaultInjector::schedule(const std::vector<Fault>& faults) {
+  for (const Fault& fault : faults) {
+    fleet_.queue().scheduleAfter(fault.at, [this, fault] { begin(fault); });
+  }
+}
+
+void FaultInjector::begin(const Fault& fault) {
+  switch (fault.kind) {
+    case FaultKind::Kill:
+      return kill(fault);
+    case FaultKind::Pause:
+      return pause(fault);
+    case FaultKind::HoldOutput:
+      return holdOutput(fault);
+    case FaultKind::Cut:
+      return cut(fault);
+    case FaultKind::Drain:
+      return drain(fault, true);
+    case FaultKind::DeclaredDrain:
+      return drain(fault, false);
+    case FaultKind::ColdStart:
+      return coldStart(fault);
+    case FaultKind::Shed:
+      return shed(fault);
+    case FaultKind::DistortLoad:
+      return distortLoad(fault);
+    case FaultKind::PlatformOutage:
+      return platformOutage(fault);
+    case FaultKind::StaleReplica:
+      return staleReplica(fault);
+    case FaultKind::Publish:
+      return fleet_.publish([](Configuration&) {});
+    case FaultKind::ConfigurationRace:
+      return configurationRace(fault);
+    case FaultKind::PlannedStop:
+      return plannedStop(fault);
+    case FaultKind::RollingRestart:
+      return rollingRestart(fault);
+    case FaultKind::Loss:
+      return lossyLinks(fault);
+    case FaultKind::WithdrawZone:
+      return withdrawZone(fault);
+  }
+}
+
+void FaultInjector::kill(const Fault& fault) {
+  if (SimulatedNode* balancer = fleet_.balancer(fault.target)) {
+    if (!balancer->process().isRunning()) {
+      return;
+    }
+    fleet_.killBalancer(*balancer);
+    after(fault.duration, [this, balancer] {
+      if (!balancer->process().isRunning()) {
+        fleet_.startBalancer(*balancer);
+      }
+    });
+    return;
+  }
+  SimulatedBackend* backend = fleet_.backend(fault.target);
+  if (!backend->process().isRunning()) {
+    return;
+  }
+  recordOutage(backend->declared().id, fault.duration);
+  backend->kill();
+  after(fault.duration, [backend] {
+    if (!backend->process().isRunning()) {
+      backend->start(Duration::zero());
+    }
+  });
+}
+
+void FaultInjector::pause(const Fault& fault) {
+  SimulatedNode* balancer = fleet_.balancer(fault.target);
+  SimulatedBackend* backend = fleet_.backend(fault.target);
+  SimulatedProcess& process = balancer != nullptr ? balancer->process() : backend->process();
+  if (!process.isRunning() || process.isPaused()) {
+    return;
+  }
+  const MonotonicTime now = fleet_.queue().now();
+  if (balancer != nullptr) {
+    fleet_.observations().node_pauses.emplace(fault.target, Interval{now, now + fault.duration});
+  } else if (fault.duration > kLongestHarmlessPause) {
+    recordOutage(backend->declared().id, fault.duration);
+  }
+  process.pause();
+  fleet_.queue().scheduleAfter(fault.duration, [&process, generation = process.generation()] {
+    if (process.generation() == generation) {
+      process.resume();
+    }
+  });
+}
+
+void FaultInjector::holdOutput(const Fault& fault) {
+  SimulatedNode* balancer = fleet_.balancer(fault.target);
+  if (!balancer->process().isRunning()) {
+    return;
+  }
+  const MonotonicTime now = fleet_.queue().now();
+  fleet_.observations().node_pauses.emplace(fault.target, Interval{now, now + fault.duration});
+  balancer->holdOutput();
+  fleet_.queue().scheduleAfter(fault.duration,
+                               [balancer, generation = balancer->process().generation()] {
+                                 if (balancer->process().generation() == generation) {
+                                   balancer->releaseOutput();
+                                 }
+                               });
+}
+
+void FaultInjector::cut(const Fault& fault) {
+  std::vector<std::string> peers = {fault.peer};
+  if (fault.peer == "*") {
+    peers = fleet_.zoneNames();
+  }
+  std::string own_zone = fault.target;
+  if (SimulatedNode* balancer = fleet_.balancer(fault.target)) {
+    own_zone = balancer->process().zone();
+  } else if (SimulatedBackend* backend = fleet_.backend(fault.target)) {
+    own_zone = backend->process().zone();
+  }
+  std::erase(peers, own_zone);
+  recordIsolation(fault.duration);
+  for (const std::string& peer : peers) {
+    fleet_.network().cut(fault.target, peer);
+    if (!fault.one_way) {
+      fleet_.network().cut(peer, fault.target);
+    }
+  }
+  after(fault.duration, [this, peers, target = fault.target] {
+    for (const std::string& peer : peers) {
+      fleet_.network().heal(target, peer);
+      fleet_.network().heal(peer, target);
+    }
+  });
+}
+
+void FaultInjector::drain(const Fault& fault, bool told) {
+  SimulatedBackend* backend = fleet_.backend(fault.target);
+  startDrain(*backend, told);
+  after(fault.duration, [this, backend] { endDrain(*backend); });
+}
+
+void FaultInjector::coldStart(const Fault& fault) {
+  SimulatedBackend* backend = fleet_.backend(fault.target);
+  if (!backend->process().isRunning()) {
+    return;
+  }
+  recordOutage(backend->declared().id, fault.duration);
+  backend->kill();
+  after(fault.duration, [backend] {
+    if (!backend->process().isRunning()) {
+      backend->start(kColdStartTime);
+    }
+  });
+}
+
+void FaultInjector::shed(const Fault& fault) {
+  SimulatedBackend* backend = fleet_.backend(fault.target);
+  if (backend->model() == nullptr) {
+    return;
+  }
+  backend->model()->setShedding(true);
+  after(fault.duration, [backend] {
+    if (backend->model() != nullptr) {
+      backend->model()->setShedding(false);
+    }
+  });
+}
+
+void FaultInjector::distortLoad(const Fault& fault) {
+  SimulatedBackend* backend = fleet_.backend(fault.target);
+  if (backend->model() == nullptr) {
+    return;
+  }
+  backend->model()->setDistortion({fault.factor, fault.lag});
+  after(fault.duration, [backend] {
+    if (backend->model() != nullptr) {
+      backend->model()->setDistortion({});
+    }
+  });
+}
+
+void FaultInjector::platformOutage(const Fault& fault) {
+  recordIsolation(fault.duration);
+  for (const std::size_t replica : replicasOf(fault)) {
+    fleet_.platform().setOutage(replica, true);
+    after(fault.duration, [this, replica] { fleet_.platform().setOutage(replica, false); });
+  }
+}
+
+void FaultInjector::staleReplica(const Fault& fault) {
+  recordIsolation(fault.duration);
+  for (const std::size_t replica : replicasOf(fault)) {
+    fleet_.platform().freeze(replica);
+    after(fault.duration, [this, replica] { fleet_.platform().thaw(replica); });
+  }
+}
+
+void FaultInjector::configurationRace(const Fault&) {
+  fleet_.publishConflict();
+  fleet_.queue().scheduleAfter(kRaceTime, [this] { fleet_.publish([](Configuration&) {}); });
+}
+
+void FaultInjector::plannedStop(const Fault& fault) {
+  if (SimulatedNode* balancer = fleet_.balancer(fault.target)) {
+    stopBalancer(*balancer, fault.duration, [] {});
+  } else {
+    stopBackend(*fleet_.backend(fault.target), fault.duration, [] {});
+  }
+}
+
+void FaultInjector::rollingRestart(const Fault& fault) {
+  std::vector<std::string> names;
+  if (fault.target == "balancers") {
+    for (const auto& balancer : fleet_.balancers()) {
+      names.push_back(balancer->settings().name);
+    }
+  }
+  for (const auto& backend : fleet_.backends()) {
+    const Service* service = fleet_.configuration().service(backend->declared().service);
+    if (service->name == fault.target) {
+      names.push_back(backend->declared().name);
+    }
+  }
+  restartOneAfterTheOther(std::move(names), seconds(1));
+}
+
+void FaultInjector::restartOneAfterTheOther(std::vector<std::string> names, Duration down_time) {
+  if (names.empty()) {
+    return;
+  }
+  const std::string name = names.front();
+  names.erase(names.begin());
+  auto next = [this, names = std::move(names), down_time] {
+    fleet_.queue().scheduleAfter(
+        kLeaveTime, [this, names, down_time] { restartOneAfterTheOther(names, down_time); });
+  };
+  if (SimulatedNode* balancer = fleet_.balancer(name)) {
+    stopBalancer(*balancer, down_time, std::move(next));
+  } else {
+    stopBackend(*fleet_.backend(name), down_time, std::move(next));
+  }
+}
+
+void FaultInjector::lossyLinks(const Fault& fault) {
+  LinkSettings& links = fleet_.network().settings();
+  links.loss += fault.factor;
+  links.duplication += fault.factor;
+  after(fault.duration, [&links, factor = fault.factor] {
+    links.loss -= factor;
+    links.duplication -= factor;
+  });
+}
+
+void FaultInjector::withdrawZone(const Fault& fault) {
+  fleet_.publish([&](Configuration& configuration) {
+    const ZoneId zone = fleet_.configuration().zoneNamed(fault.peer)->id;
+    for (Service& service : configuration.services) {
+      if (service.name == fault.target) {
+        std::erase(service.allowed_zones, zone);
+        fleet_.observations().withdrawals.push_back({service.id, zone, fleet_.queue().now()});
+      }
+    }
+  });
+}
+
+void FaultInjector::stopBalancer(SimulatedNode& balancer, Duration down_time,
+                                 std::function<void()> done) {
+  if (!balancer.process().isRunning() || balancer.process().isPaused()) {
+    done();
+    return;
+  }
+  const std::uint64_t generation = balancer.process().generation();
+  const MonotonicTime now = fleet_.queue().now();
+  fleet_.observations().planned_stops.push_back({now, now + kLeaveTime});
+  fleet_.beginLeaving(balancer);
+  fleet_.queue().scheduleAfter(kLeaveTime, [this, &balancer, generation, down_time, done] {
+    if (balancer.process().generation() != generation) {
+      done();
+      return;
+    }
+    fleet_.killBalancer(balancer);
+    fleet_.queue().scheduleAfter(down_time, [this, &balancer, done] {
+      if (!balancer.process().isRunning()) {
+        fleet_.startBalancer(balancer);
+      }
+      done();
+    });
+  });
+}
+
+void FaultInjector::stopBackend(SimulatedBackend& backend, Duration down_time,
+                                std::function<void()> done) {
+  const std::size_t stop = fleet_.observations().planned_stops.size();
+  fleet_.observations().planned_stops.push_back({fleet_.queue().now(), MonotonicTime::max()});
+  startDrain(backend, true);
+  stopWhenEmpty(backend, backend.process().generation(), stop, down_time, std::move(done));
+}
+
+void FaultInjector::stopWhenEmpty(SimulatedBackend& backend, std::uint64_t generation,
+                                  std::size_t stop, Duration down_time,
+                                  std::function<void()> done) {
+  const bool same_life = backend.process().generation() == generation;
+  const bool empty = backend.model() != nullptr && backend.model()->openFlows() == 0;
+  // The drain has to be known everywhere before an empty back end stays empty.
+  const MonotonicTime began_at = fleet_.observations().planned_stops[stop].from;
+  const bool known = fleet_.queue().now() - began_at >= 2 * kLeaveTime;
+  if (same_life && (!empty || !known)) {
+    fleet_.queue().scheduleAfter(kEmptyCheckInterval, [=, this, &backend] {
+      stopWhenEmpty(backend, generation, stop, down_time, done);
+    });
+    return;
+  }
+  fleet_.observations().planned_stops[stop].until = fleet_.queue().now();
+  if (same_life) {
+    backend.kill();
+  }
+  fleet_.queue().scheduleAfter(down_time, [=, this, &backend] {
+    if (!backend.process().isRunning()) {
+      backend.start(Duration::zero());
+    }
+    endDrain(backend);
+    done();
+  });
+}
+
+void FaultInjector::startDrain(SimulatedBackend& backend, bool told) {
+  const BackendId id = backend.declared().id;
+  ++drains_in_force_[id];
+  fleet_.observations().drains.emplace(id, Interval{fleet_.queue().now(), MonotonicTime::max()});
+  if (told) {
+    backend.setDraining(true);
+  }
+  declareDraining(id, true);
+}
+
+void FaultInjector::endDrain(SimulatedBackend& backend) {
+  const BackendId id = backend.declared().id;
+  if (--drains_in_force_[id] > 0) {
+    return;
+  }
+  const auto [first, last] = fleet_.observations().drains.equal_range(id);
+  for (auto entry = first; entry != last; ++entry) {
+    entry->second.until = std::min(entry->second.until, fleet_.queue().now());
+  }
+  backend.setDraining(false);
+  declareDraining(id, false);
+}
+
+void FaultInjector::declareDraining(BackendId backend, bool draining) {
+  fleet_.publish([&](Configuration& configuration) {
+    for (Backend& declared : configuration.backends) {
+      declared.draining = declared.id == backend ? draining : declared.draining;
+    }
+  });
+}
+
+void FaultInjector::recordOutage(BackendId backend, Duration duration) {
+  const MonotonicTime now = fleet_.queue().now();
+  const MonotonicTime until = duration == Duration::zero() ? MonotonicTime::max() : now + duration;
+  fleet_.observations().unplanned_outages.emplace(backend, Interval{now, until});
+}
+
+void FaultInjector::recordIsolation(Duration duration) {
+  const MonotonicTime now = fleet_.queue().now();
+  const MonotonicTime until = duration == Duration::zero() ? MonotonicTime::max() : now + duration;
+  fleet_.observations().isolation.push_back({now, until});
+}
+
+void FaultInjector::after(Duration duration, std::function<void()> function) {
+  if (duration > Duration::zero()) {
+    fleet_.queue().scheduleAfter(duration, std::move(function));
+  }
+}
+
+std::vector<std::size_t> FaultInjector::replicasOf(const Fault& fault) const {
+  if (fault.target != "*") {
+    return {std::stoul(fault.target)};
+  }
+  std::vector<std::size_t> replicas;
+  for (std::size_t replica = 0; replica < fleet_.platform().size(); ++replica) {
+    replicas.push_back(replica);
+  }
+  return replicas;
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/sim/simulated_backend.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <memory>
+
+#include "sim/backend_model.h"
+#include "sim/observations.h"
+#include "sim/simulated_network.h"
+
+namespace lugfork {
+
+/** BackendModel in a simulated process. A killed one loses its memory. */
+class SimulatedBackend : private DatagramSender {
+ public:
+  SimulatedBackend(const Backend& declared, EventQueue& queue, SimulatedProcess& process,
+                   SimulatedNetwork& network, Observations& observations);
+
+  /** Starts the process with a fresh model. @param cold_start time in which work takes longer. */
+  void start(Duration cold_start);
+  void kill();
+
+  /** Tells the back end to drain, or to take work again; also holds for its next life. */
+  void setDraining(bool draining);
+
+  /** @return the model of this life; nullptr while the process is dead. */
+  BackendModel* model() { return model_.get(); }
+  SimulatedProcess& process() { return process_; }
+  const Backend& declared() const { return declared_; }
+
+ private:
+  void sendDatagram(Endpoint destination, const Datagram& datagram) override;
+  void scheduleTick();
+  void recordRuns();
+
+  const Backend declared_;
+  EventQueue& queue_;
+  SimulatedProcess& process_;
+  SimulatedNetwork& network_;
+  Observations& observations_;
+  std::unique_ptr<BackendModel> model_;
+  std::size_t runs_recorded_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace lugfork
--- a/src/sim/simulated_network.cc
+++ b/src/sim/simulated_network.cc
@@ -17,6 +17,7 @@
 void SimulatedNetwork::sendDatagram(const SimulatedProcess& from, Endpoint source,
                                     Endpoint destination, Bytes bytes) {
   ++counters_.datagrams_sent;
+  trace_.add(queue_.now(), bytes);
   const auto found = datagram_receivers_.find(destination);
   if (found == datagram_receivers_.end()) {
     return;
@@ -39,7 +40,9 @@
 
 std::size_t SimulatedNetwork::sendPeerMessage(const SimulatedProcess& from, Endpoint source,
                                               Endpoint destination, const PeerMessage& message) {
-  const std::size_t size = encodePeerMessage(message).size();
+  const Bytes bytes = encodePeerMessage(message);
+  const std::size_t size = bytes.size();
+  trace_.add(queue_.now(), bytes);
   ++counters_.peer_messages_sent;
   counters_.peer_bytes_sent += size;
   const auto found = peer_receivers_.find(destination);
--- a/src/sim/simulated_network.h
+++ b/src/sim/simulated_network.h
@@ -9,6 +9,7 @@
 
 #include "common/random_generator.h"
 #include "sim/simulated_process.h"
+#include "sim/trace_hash.h"
 #include "wire/peer_message.h"
 
 namespace lugfork {
@@ -71,6 +72,7 @@
                std::function<Reply()> serve, std::function<void(const Reply&)> on_reply,
                std::function<void()> on_failure) {
     const auto answered = std::make_shared<bool>(false);
+    const std::uint64_t generation = client.generation();
     client.runAfter(timeout, [answered, on_failure = std::move(on_failure)] {
       if (!*answered && on_failure) {
         on_failure();
@@ -79,8 +81,9 @@
     });
     transfer(client, server, [=, this, &client, &server] {
       const Reply reply = serve();
-      transfer(server, client, [=] {
-        if (!*answered) {
+      transfer(server, client, [=, &client] {
+        // The connection ends with the client's process: a later life never gets the reply.
+        if (!*answered && client.generation() == generation) {
           *answered = true;
           on_reply(reply);
         }
@@ -95,6 +98,9 @@
 
   const NetworkCounters& counters() const { return counters_; }
 
+  /** @return the hash over every datagram and peer message sent so far. */
+  std::uint64_t traceDigest() const { return trace_.digest(); }
+
  private:
   struct DatagramReceiver {
     SimulatedProcess* process;
@@ -118,6 +124,7 @@
   std::unordered_map<Endpoint, PeerReceiver> peer_receivers_;
   std::set<std::pair<std::string, std::string>> cuts_;
   NetworkCounters counters_;
+  TraceHash trace_;
 };
 
 }  // namespace lugfork
--- a/src/sim/simulated_node.h
+++ b/src/sim/simulated_node.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "balancer/node.h"
+#include "sim/baseline_router.h"
 #include "sim/simulated_network.h"
 
 namespace lugfork {
@@ -27,12 +28,18 @@
  public:
   SimulatedNode(NodeSettings settings, Endpoint data_address, SimulatedProcess& process,
                 SimulatedNetwork& network, NodeSurroundings& surroundings, EventLog& log,
-                std::uint64_t seed);
+                std::uint64_t seed, RouterKind router = RouterKind::Token);
 
   /** Starts the process with a fresh Node; nothing of an earlier life remains. */
   void start();
   void kill();
 
+  /** Keeps back all that the node sends, as if it stood still between its checks and its sends. */
+  void holdOutput() { holds_output_ = true; }
+
+  /** Sends what was kept back. */
+  void releaseOutput();
+
   /** @return the node of this life; nullptr while the process is dead. */
   Node* node() { return node_.get(); }
   SimulatedProcess& process() { return process_; }
@@ -49,6 +56,10 @@
   void readPlatformMachines() override;
   void probeBackend(const Backend& backend) override;
   void scheduleTick();
+  void onDatagram(std::span<const std::uint8_t> bytes, Endpoint from);
+
+  /** Sends now, or at the release. */
+  void sendOrHold(std::function<void()> send);
 
   const NodeSettings settings_;
   const Endpoint data_address_;
@@ -57,7 +68,11 @@
   NodeSurroundings& surroundings_;
   EventLog& log_;
   std::unique_ptr<RandomGenerator> random_;
+  const RouterKind router_;
   std::unique_ptr<Node> node_;
+  std::unique_ptr<BaselineRouter> baseline_;
+  bool holds_output_ = false;
+  std::vector<std::function<void()>> held_output_;
   std::uint64_t peer_bytes_sent_ = 0;
 };
 
--- /dev/null
+++ b/src/sim/toml_reader.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <toml++/toml.h>
+
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "common/time_source.h"
+
+/** Typed reads of TOML tables with errors that name the file, the key and what is allowed. */
+namespace lugfork {
+
+/** Thrown inside the readers only; they turn it into a typed error. */
+class TomlReadError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+/** Parses a file. @throws TomlReadError naming the file and the line. */
+toml::table parseTomlFile(const std::string& path);
+
+/** One table of a file; remembers which keys were read, so that unknown ones are refused. */
+class TomlReader {
+ public:
+  TomlReader(const toml::table& table, std::string file, std::string place)
+      : table_(table), file_(std::move(file)), place_(std::move(place)) {}
+
+  std::string text(const char* key);
+  std::string text(const char* key, const std::string& fallback);
+  double number(const char* key, double lowest, double highest, double fallback);
+  std::uint32_t whole(const char* key, std::uint32_t lowest, std::uint32_t highest,
+                      std::uint32_t fallback);
+  Duration milliseconds(const char* key, std::uint32_t highest, Duration fallback);
+  bool flag(const char* key, bool fallback);
+
+  /** @return the place of a name in a list of allowed names. */
+  std::size_t choice(const char* key, const std::vector<std::string>& allowed);
+
+  /** @return the readers of an array of tables; empty where the key is missing. */
+  std::vector<TomlReader> tables(const char* key);
+
+  /** @return the reader of a table; of an empty one where the key is missing. */
+  TomlReader table(const char* key);
+
+  /** Refuses keys that were not read. */
+  void finish() const;
+
+  [[noreturn]] void fail(const std::string& key, const std::string& problem) const;
+
+ private:
+  const toml::node* find(const char* key);
+
+  const toml::table& table_;
+  std::string file_;
+  std::string place_;
+  std::set<std::string> known_;
+};
+
+}  // namespace lugfork
