--- a/src/cluster/configuration_spread.cc
+++ b/src/cluster/configuration_spread.cc
@@ -128,7 +128,9 @@
   const Duration interval = platformReadInterval(fleet_size);
   next_platform_read_ = std::min(next_platform_read_, now + 2 * interval);
   if (now >= next_platform_read_) {
-    next_platform_read_ = now + interval;
+    // Drawn from [0, 2 * interval): nodes that started at once read at different times.
+    next_platform_read_ =
+        now + Duration(random_.below(static_cast<std::uint64_t>(2 * interval.count())));
     host_.readConfigurationFromPlatform();
   }
 }
@@ -189,12 +191,10 @@
   report(store_.offerResources(fetch.target, resources), "peer", fetch.target);
 }
 
-Duration ConfigurationSpread::platformReadInterval(std::size_t fleet_size) {
+Duration ConfigurationSpread::platformReadInterval(std::size_t fleet_size) const {
   const double share = static_cast<double>(fleet_size) / settings_.fleet_reads_per_second;
-  const double base =
-      std::max(static_cast<double>(settings_.platform_interval.count()), share * 1e6);
-  const double factor = 1 + settings_.platform_jitter * (2 * random_.unit() - 1);
-  return Duration(static_cast<std::int64_t>(base * factor));
+  const Duration shared(static_cast<std::int64_t>(share * 1e6));
+  return std::max(settings_.platform_interval, shared);
 }
 
 }  // namespace lugfork
--- a/src/cluster/configuration_spread.h
+++ b/src/cluster/configuration_spread.h
@@ -22,10 +22,8 @@
   Duration fetch_timeout = seconds(2);
   /** Reads of the platform by the whole fleet a second, at most. */
   double fleet_reads_per_second = 4;
-  /** Shortest time between two reads of one node. */
+  /** Shortest mean time between two reads of one node. */
   Duration platform_interval = seconds(1);
-  /** Share by which the time between two reads varies. */
-  double platform_jitter = 0.2;
 };
 
 /** Sends what the spread asks for, and hears of adoptions. */
@@ -91,7 +89,8 @@
   void report(OfferOutcome outcome, const char* source, const ConfigurationId& offered);
   void requestBuckets();
   void finishFetch();
-  Duration platformReadInterval(std::size_t fleet_size);
+  /** @return mean time between two reads of this node. */
+  Duration platformReadInterval(std::size_t fleet_size) const;
 
   const ConfigurationSpreadSettings settings_;
   ConfigurationStore& store_;
--- a/src/cluster/membership.cc
+++ b/src/cluster/membership.cc
@@ -233,6 +233,7 @@
   const std::size_t position = random_.below(probe_order_.size() + 1);
   probe_order_.insert(probe_order_.begin() + static_cast<std::ptrdiff_t>(position), id);
   countLive(record, true);
+  ++live_generation_;
   if (record.state == MemberState::Suspect) {
     suspected_at_[id] = time_source_.monotonicTime();
   }
@@ -244,6 +245,7 @@
 
 void Membership::change(MemberRecord& member, const MemberRecord& record, PassOn pass_on) {
   countLive(member, false);
+  live_generation_ += member.zone != record.zone ? 1 : 0;
   member.zone = record.zone;
   member.peer_address = record.peer_address;
   member.incarnation = record.incarnation;
@@ -254,9 +256,11 @@
 void Membership::setState(MemberRecord& member, MemberState state, PassOn pass_on) {
   const NodeId id = nodeIdFromName(member.name);
   const MemberState previous = member.state;
+  const bool was_live = isLive(member);
   countLive(member, false);
   member.state = state;
   countLive(member, true);
+  live_generation_ += was_live != isLive(member) ? 1 : 0;
   suspected_at_.erase(id);
   dead_since_.erase(id);
   if (state == MemberState::Suspect) {
@@ -279,7 +283,6 @@
   const std::size_t in_zone = member.zone == self_.zone ? 1 : 0;
   live_count_ = added ? live_count_ + 1 : live_count_ - 1;
   live_in_zone_ = added ? live_in_zone_ + in_zone : live_in_zone_ - in_zone;
-  ++live_generation_;
 }
 
 void Membership::addRumour(NodeId about) {
--- a/src/sim/hollow_fleet.cc
+++ b/src/sim/hollow_fleet.cc
@@ -314,6 +314,16 @@
   });
 }
 
+bool HollowFleet::anyHasVersion(ConfigVersion version) const {
+  return std::any_of(nodes_.begin(), nodes_.end(), [version](const auto& node) {
+    return node->node() != nullptr && node->node()->configuration().version() == version;
+  });
+}
+
+std::uint64_t HollowFleet::wallClockMilliseconds() const {
+  return toUnixMilliseconds(ProcessTimeSource(queue_, Duration()).systemTime());
+}
+
 bool HollowFleet::allBelieve(std::size_t index, MemberState state) const {
   const std::string name = nodeName(index);
   for (std::size_t other = 0; other < nodes_.size(); ++other) {
--- a/src/sim/hollow_fleet.h
+++ b/src/sim/hollow_fleet.h
@@ -108,6 +108,12 @@
 
   /** @return true if all running nodes have that version in force. */
   bool allHaveVersion(ConfigVersion version) const;
+  /** @return true if any running node has that version in force. */
+  bool anyHasVersion(ConfigVersion version) const;
+
+  /** @return the wall clock of all nodes, in milliseconds since the Unix epoch. */
+  std::uint64_t wallClockMilliseconds() const;
+
   /** @return true if all running nodes believe that of the other node. */
   bool allBelieve(std::size_t index, MemberState state) const;
   /** @return true if no running node places on the back end any more. */
