Send no keepalive before the back end knows the flow; report not ready after a start

(1) The caller's first keepalive, sent 500 ms after the placement, overtook the first piece where that one was lost or held back at a balancer; the back end did not know the flow and it was reset. (2) A restarted back end got placements within the clock skew of its start, can't tell them from those of its earlier life and answers 'unknown'. Ruled out: losing the established flow itself; all resets named attempts that had not begun. Change: keepalives begin with the back end's first answer to the attempt; for twice the clock skew after a start the back end reports that it wants nothing new. A spread that the end of the simulation cut short is no longer counted (it showed as 1000 s).

--- a/src/client/caller_flow.cc
+++ b/src/client/caller_flow.cc
@@ -60,7 +60,8 @@
       sendWindow();
     }
   }
-  if (state_ == State::Active && now >= next_keepalive_at_) {
+  // A keepalive that overtook the first piece would meet a back end that does not know the flow.
+  if (state_ == State::Active && established_ && now >= next_keepalive_at_) {
     sendAnswerAck();
   }
 }
@@ -84,6 +85,7 @@
     return;
   }
   last_heard_at_ = time_source_.monotonicTime();
+  established_ = true;
   if (ack.next_expected <= next_unconfirmed_ || ack.next_expected > pieces_.size()) {
     return;
   }
@@ -99,6 +101,7 @@
     return;
   }
   last_heard_at_ = time_source_.monotonicTime();
+  established_ = true;
   next_unconfirmed_ = static_cast<std::uint32_t>(pieces_.size());
   next_to_send_ = next_unconfirmed_;
   if (answer.sequence >= next_answer_piece_) {
@@ -162,6 +165,7 @@
   answers_ahead_.clear();
   last_answer_piece_.reset();
   last_heard_at_ = now;
+  established_ = false;
   resend_interval_ = settings_.resend_interval;
   next_resend_at_ = now + resend_interval_;
   next_keepalive_at_ = now + settings_.keepalive_interval;
--- a/src/client/caller_flow.h
+++ b/src/client/caller_flow.h
@@ -143,6 +143,8 @@
   MonotonicTime started_at_;
   MonotonicTime attempt_started_at_;
   MonotonicTime last_heard_at_;
+  /** The back end has answered this attempt: it knows the flow. */
+  bool established_ = false;
   MonotonicTime next_resend_at_;
   MonotonicTime next_keepalive_at_;
   MonotonicTime retry_at_;
--- a/src/programs/sim_run.cc
+++ b/src/programs/sim_run.cc
@@ -27,6 +27,7 @@
   std::string format = "text";
   std::size_t threads = 2;
   bool each_seed = false;
+  bool explain = false;
 };
 
 json toJson(const PromiseReport& report) {
@@ -59,6 +60,49 @@
   }
 }
 
+double secondsSinceStart(MonotonicTime time) {
+  const Duration elapsed = time - EventQueue().now();
+  return std::chrono::duration<double>(elapsed).count();
+}
+
+void explainFaults(const std::vector<Fault>& faults) {
+  for (const Fault& fault : faults) {
+    const json line = {{"fault", toString(fault.kind)},
+                       {"at", std::chrono::duration<double>(fault.at).count()},
+                       {"for", std::chrono::duration<double>(fault.duration).count()},
+                       {"target", fault.target},
+                       {"peer", fault.peer},
+                       {"one_way", fault.one_way},
+                       {"factor", fault.factor},
+                       {"lag", std::chrono::duration<double>(fault.lag).count()}};
+    std::cerr << line.dump() << "\n";
+  }
+}
+
+/** Writes the faults and the broken calls of one simulation to standard error. */
+void explain(const std::vector<Fault>& faults, const Observations& observations) {
+  explainFaults(faults);
+  std::map<FlowKey, BackendId> backends;
+  for (const PlacementObservation& placement : observations.placements) {
+    backends[placement.key] = placement.backend;
+  }
+  for (const CallRecord& call : observations.calls) {
+    if (!call.result) {
+      std::cerr << json({{"never_ended", toString(call.flow)},
+                         {"began", secondsSinceStart(call.began_at)}})
+                << "\n";
+    }
+    for (const BreakObservation& broken : call.breaks) {
+      const json line = {
+          {"break", toString(broken.key.flow)},     {"attempt", broken.key.attempt},
+          {"kind", static_cast<int>(call.kind)},    {"began", secondsSinceStart(call.began_at)},
+          {"at", secondsSinceStart(broken.at)},     {"reason", toString(broken.reason)},
+          {"backend", backends[broken.key].value()}};
+      std::cerr << line.dump() << "\n";
+    }
+  }
+}
+
 /** Runs all seeds, several at a time. @return the reports in the order of the seeds. */
 std::vector<PromiseReport> runSeeds(const RunSettings& settings, const Scenario& scenario,
                                     const std::vector<Fault>* faults) {
@@ -69,7 +113,11 @@
       const std::uint64_t seed = settings.first_seed + index;
       const FleetOptions options{settings.router, settings.placement, seed};
       const std::vector<Fault> storm = faults == nullptr ? drawStorm(scenario, seed) : *faults;
-      reports[index] = runSimulation(scenario, storm, options).report;
+      const SimulationResult result = runSimulation(scenario, storm, options);
+      reports[index] = result.report;
+      if (settings.explain) {
+        explain(storm, result.observations);
+      }
     }
   };
   std::vector<std::thread> threads;
@@ -160,6 +208,8 @@
       ->check(CLI::Range(std::size_t{1}, kMaxThreads));
   command->add_flag("--each-seed", settings->each_seed,
                     "writes the counts of each seed that breaks a promise to standard error");
+  command->add_flag("--explain", settings->explain,
+                    "writes faults and broken calls to standard error; for one seed");
   command->callback([&run_body, settings] { run_body = [settings] { return run(*settings); }; });
 }
 
--- a/src/sim/backend_model.h
+++ b/src/sim/backend_model.h
@@ -118,6 +118,12 @@
   /** @return Reason::None where a new attempt may be admitted. */
   Reason admissionBlockedBy(const Data& data, const Forward& forward) const;
   bool mayHaveRunBeforeRestart(const Data& data) const;
+
+  /**
+   * Right after a start, placements can't be told from those of an earlier life, because clocks
+   * differ; the report asks for none until then.
+   */
+  bool isReady() const;
   Flow& admit(const Data& data, const Forward& forward);
   void takePiece(Flow& flow, const Data& data);
   void onRequestComplete(const FlowKey& key, Flow& flow);
--- a/src/sim/call_generator.cc
+++ b/src/sim/call_generator.cc
@@ -151,7 +151,7 @@
   const MonotonicTime now = fleet_.queue().now();
   input();
   if (flow.breaks() > breaks) {
-    call.record.breaks.emplace_back(key, now);
+    call.record.breaks.push_back({key, now, flow.lastReason()});
   }
   const bool moved_on = flow.key() != key || flow.result() || flow.isBackingOff();
   if (refused != nullptr && refused->key == key && !backed_off && moved_on) {
--- a/src/sim/fault_injector.cc
+++ b/src/sim/fault_injector.cc
@@ -9,6 +9,8 @@
 constexpr Duration kEmptyCheckInterval = milliseconds(100);
 /** A back end that stands still for longer can't be told from a dead one by its callers. */
 constexpr Duration kLongestHarmlessPause = seconds(2);
+/** After a restart, placements of balancers that did not notice it look as if made before it. */
+constexpr Duration kRestartDoubt = seconds(1);
 constexpr Duration kColdStartTime = seconds(10);
 constexpr Duration kRaceTime = seconds(2);
 
--- a/src/sim/simulation.cc
+++ b/src/sim/simulation.cc
@@ -22,6 +22,9 @@
     fleet.queue().runFor(kStep);
   }
   calls.recordUnended();
+  for (auto& [name, life] : result.observations.node_lives) {
+    life.until = std::min(life.until, fleet.queue().now());
+  }
   result.report = checkPromises(result.observations);
   result.trace_digest = fleet.network().traceDigest();
   result.events = fleet.queue().executed();
