Tell refusals of an Open from refusals of an attempt; a balancer that is behind resets nothing

- Double run: several balancers may get copies of one Open.
One places it, another refuses it late.
The caller took that refusal for one of its running attempt, and ran a request that may not be repeated a second time.
Cause: Refused did not say what it was about.
Matching by reason was ruled out, since Overloaded comes from balancers and back ends.
Refused now carries its scope, and the caller takes each scope only in the state that it belongs to.
- Broken flow on a planned change: a balancer with an older configuration than the token's answered Reset where the zone was not allowed yet, the back end or service not moved yet, or the address still held by a former back end.
It now drops the datagram and asks for the newer configuration; the caller's resend reaches another balancer.
Forwarding against the configuration in force was ruled out: the zone rule is absolute.
- A refusal that names a declared back end but comes from another address, or names another service, was relayed to the caller as "not run".
It is now dropped and counted.
A back end that is no longer declared can't be checked; its refusals are relayed as before.
- cancel() after the end overwrote the result.
- A duplicate of the last answer piece was not confirmed after the end, so a back end whose last acknowledgement was lost held the connection until its idle timeout.
- A call that was never placed gave no time to come back.

--- a/src/client/caller_flow.cc
+++ b/src/client/caller_flow.cc
@@ -22,11 +22,19 @@
 
 void CallerFlow::onDatagram(const Datagram& datagram) {
   if (state_ == State::Ended) {
+    confirmAgain(datagram);
     return;
   }
   std::visit([this](const auto& body) { handle(body); }, datagram);
 }
 
+void CallerFlow::confirmAgain(const Datagram& datagram) {
+  const Answer* answer = std::get_if<Answer>(&datagram);
+  if (answer != nullptr && answer->key == key_ && result_ == CallResult::Whole) {
+    sendAnswerAck();
+  }
+}
+
 void CallerFlow::onTick() {
   if (state_ == State::Ended) {
     return;
@@ -43,7 +51,7 @@
     return;
   }
   if (state_ == State::Opening && now - attempt_started_at_ >= settings_.open_timeout) {
-    retryOrEnd(CallResult::NotRun, Duration::zero());
+    retryOrEnd(CallResult::NotRun, settings_.backoff_base);
     return;
   }
   if (state_ == State::Active && now - last_heard_at_ >= settings_.idle_timeout) {
@@ -66,6 +74,9 @@
 }
 
 void CallerFlow::cancel() {
+  if (state_ == State::Ended) {
+    return;
+  }
   if (state_ == State::Active) {
     outputs_.sendToService(Cancel{request_.service, key_, token_});
   }
@@ -117,8 +128,12 @@
 }
 
 void CallerFlow::handle(const Refused& refused) {
+  // Several balancers may answer copies of one Open. Once a placement is in use, a refusal of a
+  // copy says nothing of the work; only the back end's refusal of the attempt does.
+  const RefusalScope awaited =
+      state_ == State::Active ? RefusalScope::Attempt : RefusalScope::Placement;
   const bool awaiting = state_ == State::Opening || state_ == State::Active;
-  if (!awaiting || refused.key != key_) {
+  if (!awaiting || refused.scope != awaited || refused.key != key_) {
     return;
   }
   last_reason_ = refused.reason;
--- a/src/client/caller_flow.h
+++ b/src/client/caller_flow.h
@@ -108,6 +108,9 @@
   template <typename Other>
   void handle(const Other&) {}
 
+  /** Confirms the whole answer once more where the back end still resends it. */
+  void confirmAgain(const Datagram& datagram);
+
   void beginAttempt();
   void activate(const TokenBytes& token);
   void sendOpen();
--- a/src/flow/flow_counters.h
+++ b/src/flow/flow_counters.h
@@ -19,6 +19,8 @@
   std::uint64_t forwards_continue_only = 0;
   /** Datagrams whose token is newer than the configuration in force; dropped, callers resend. */
   std::uint64_t drops_configuration_behind = 0;
+  /** Refusals that claim to come from a back end but not from its address or service. */
+  std::uint64_t drops_unverified_refusal = 0;
   /** Datagrams of a type that a balancer does not take. */
   std::uint64_t drops_unexpected_type = 0;
   std::array<std::uint64_t, kCodecErrorCount> drops_by_codec_error{};
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -74,17 +74,17 @@
   const Reason blocked_by = host_.placementBlockedBy();
   if (blocked_by != Reason::None || configuration_ == nullptr) {
     const Reason reason = blocked_by == Reason::None ? Reason::Joining : blocked_by;
-    refuse(caller, open.key, reason, settings_.retry_after);
+    refuseOpen(caller, open.key, reason, settings_.retry_after);
     return;
   }
   const Service* service = configuration_->serviceAt(open.service);
   if (service == nullptr) {
-    refuse(caller, open.key, Reason::UnknownService, settings_.retry_after);
+    refuseOpen(caller, open.key, Reason::UnknownService, settings_.retry_after);
     return;
   }
   const auto placed = placement_.place(*service, open.key.flow);
   if (!placed) {
-    refuse(caller, open.key, placed.error().reason, placed.error().retry_after);
+    refuseOpen(caller, open.key, placed.error().reason, placed.error().retry_after);
     return;
   }
   ++counters_.placements;
@@ -105,19 +105,16 @@
     return;
   }
   const Placement& placement = opened.value();
-  if (placement.config_version > configuration_->version()) {
+  const bool behind = placement.config_version > configuration_->version();
+  if (behind) {
     host_.onNewerConfigurationSeen(placement.config_version);
   }
-  const Service* service = configuration_->service(placement.service);
-  if (service == nullptr && placement.config_version > configuration_->version()) {
+  const auto destination = resolveBackend(placement, datagram.service);
+  if (!destination && behind) {
+    // What stands against the placement may be out of date here; the caller resends.
     ++counters_.drops_configuration_behind;
     return;
   }
-  if (service == nullptr || service->address != datagram.service) {
-    reset(caller, datagram.key, Reason::TokenForOtherService);
-    return;
-  }
-  const auto destination = resolveBackend(placement, *service);
   if (!destination) {
     reset(caller, datagram.key, destination.error());
     return;
@@ -139,8 +136,12 @@
 }
 
 Result<Endpoint, Reason> FlowRouter::resolveBackend(const Placement& placement,
-                                                    const Service& service) {
-  if (!service.allowsZone(placement.zone)) {
+                                                    Endpoint addressed_service) {
+  const Service* service = configuration_->service(placement.service);
+  if (service == nullptr || service->address != addressed_service) {
+    return Reason::TokenForOtherService;
+  }
+  if (!service->allowsZone(placement.zone)) {
     return Reason::ZoneNotAllowed;
   }
   const Backend* declared = configuration_->backend(placement.backend);
@@ -169,7 +170,11 @@
 void FlowRouter::onBackendRefusal(const BackendRefusal& refusal, Endpoint from) {
   const Backend* backend =
       configuration_ == nullptr ? nullptr : configuration_->backend(refusal.backend);
-  if (backend != nullptr && backend->address == from) {
+  if (backend != nullptr) {
+    if (backend->address != from || backend->service != refusal.service) {
+      ++counters_.drops_unverified_refusal;
+      return;
+    }
     learnFromRefusal(refusal);
   }
   relayRefusal(refusal);
@@ -197,8 +202,9 @@
   if (service != nullptr && mayPlaceAgainAfter(refusal.reason)) {
     replacement = placeAgain(refusal, *service);
   }
-  refuse(refusal.caller, refusal.key, refusal.reason, milliseconds(refusal.retry_after_ms),
-         std::move(replacement));
+  ++counters_.refusals_by_reason[static_cast<std::size_t>(refusal.reason)];
+  sender_.sendDatagram(refusal.caller, Refused{refusal.key, refusal.reason, refusal.retry_after_ms,
+                                               std::move(replacement), RefusalScope::Attempt});
 }
 
 TokenBytes FlowRouter::placeAgain(const BackendRefusal& refusal, const Service& service) {
@@ -229,11 +235,11 @@
   return sealToken(placement, *configuration_->sealingKey());
 }
 
-void FlowRouter::refuse(Endpoint caller, const FlowKey& key, Reason reason, Duration retry_after,
-                        TokenBytes replacement) {
+void FlowRouter::refuseOpen(Endpoint caller, const FlowKey& key, Reason reason,
+                            Duration retry_after) {
   ++counters_.refusals_by_reason[static_cast<std::size_t>(reason)];
-  sender_.sendDatagram(caller,
-                       Refused{key, reason, toMilliseconds(retry_after), std::move(replacement)});
+  sender_.sendDatagram(caller, Refused{key, reason, toMilliseconds(retry_after), TokenBytes(),
+                                       RefusalScope::Placement});
 }
 
 void FlowRouter::reset(Endpoint caller, const FlowKey& key, Reason reason) {
--- a/src/flow/flow_router.h
+++ b/src/flow/flow_router.h
@@ -64,6 +64,7 @@
  private:
   void onCallerDatagram(std::span<const std::uint8_t> bytes, Endpoint caller);
   void onOpen(const Open& open, Endpoint caller);
+  /** Drops a refusal that names a declared back end but does not come from its address. */
   void onBackendRefusal(const BackendRefusal& refusal, Endpoint from);
 
   /** Updates the view of the back end; only for refusals that come from its own address. */
@@ -78,14 +79,17 @@
 
   void onTokenError(TokenError error, const FlowKey& key, Endpoint caller);
 
-  /** @return where to forward, or Reason of the reset that the placement calls for. */
-  Result<Endpoint, Reason> resolveBackend(const Placement& placement, const Service& service);
+  /**
+   * Checks a placement against the configuration in force.
+   * @param addressed_service the service address that the datagram was sent to.
+   * @return where to forward, or the reason of the reset that the placement calls for.
+   */
+  Result<Endpoint, Reason> resolveBackend(const Placement& placement, Endpoint addressed_service);
 
   ForwardMode forwardModeOf(const Placement& placement) const;
   TokenBytes placeAgain(const BackendRefusal& refusal, const Service& service);
   TokenBytes sealPlacement(const FlowKey& key, const Service& service, const Backend& backend);
-  void refuse(Endpoint caller, const FlowKey& key, Reason reason, Duration retry_after,
-              TokenBytes replacement = {});
+  void refuseOpen(Endpoint caller, const FlowKey& key, Reason reason, Duration retry_after);
   void reset(Endpoint caller, const FlowKey& key, Reason reason);
 
   const FlowRouterSettings settings_;
--- a/src/wire/datagram.h
+++ b/src/wire/datagram.h
@@ -110,7 +110,16 @@
   auto fields() { return std::tie(key, service, backend, sequence, last, payload); }
 };
 
-/** The request was not run and will not run under this attempt. Only said where certain. */
+/** What a refusal is about. */
+enum class RefusalScope : std::uint8_t {
+  /** The Open: this balancer gave no placement. Says nothing of placements by other balancers. */
+  Placement = 0,
+  /** The attempt: the back end that its token names did not and will not run it. */
+  Attempt = 1,
+  Last = Attempt,
+};
+
+/** The request was not run and will not run within the scope. Only said where certain. */
 struct Refused {
   FlowKey key;
   Reason reason = Reason::None;
@@ -118,7 +127,8 @@
   std::uint32_t retry_after_ms = 0;
   /** Placement for the next attempt where the balancer placed again at once; else empty. */
   TokenBytes replacement;
-  auto fields() { return std::tie(key, reason, retry_after_ms, replacement); }
+  RefusalScope scope = RefusalScope::Placement;
+  auto fields() { return std::tie(key, reason, retry_after_ms, replacement, scope); }
 };
 
 /** The flow can't go on and whether the request ran is unknown. */
--- /dev/null
+++ b/tests/flow/flow_router_test.cc
@@ -0,0 +1,261 @@
+#include "flow/flow_router.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "flow/router_harness.h"
+
+namespace lugfork {
+namespace {
+
+const FlowKey kKey{{1, 2}, 0};
+
+TEST_CASE("an Open that can't be placed is refused at once, with a time to come back") {
+  struct Row {
+    const char* name;
+    Reason reason;
+    Endpoint service;
+    std::function<void(RouterHarness&)> arrange;
+  };
+  const auto nothing = [](RouterHarness&) {};
+  const Row rows[] = {
+      {"unknown service", Reason::UnknownService, kStranger, nothing},
+      {"node blocked", Reason::ViewNotFresh, kListen,
+       [](RouterHarness& harness) { harness.blocked_by = Reason::ViewNotFresh; }},
+      {"only candidate is in a zone not allowed", Reason::NoBackendInAllowedZones, kListen,
+       [](RouterHarness& harness) {
+         Configuration configuration = twoServices(11);
+         configuration.backends.erase(configuration.backends.begin(),
+                                      configuration.backends.begin() + 2);
+         harness.router.setConfiguration(viewOf(configuration));
+       }},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    RouterHarness harness;
+    row.arrange(harness);
+    harness.receive(Open{row.service, kKey});
+    const auto refused = harness.takeOnly<Refused>();
+    REQUIRE(refused);
+    CHECK(refused->reason == row.reason);
+    CHECK(refused->retry_after_ms > 0);
+    CHECK(refused->scope == RefusalScope::Placement);
+    CHECK(harness.last_destination == kCaller);
+  }
+}
+
+enum class Expected { Forwarded, Reset, Dropped };
+
+struct TokenRow {
+  const char* name;
+  Expected expected;
+  Reason reason;
+  /** Changes the datagram or the harness between placement and forwarding. */
+  std::function<void(RouterHarness&, Data&)> fault;
+};
+
+/** Gives the router that configuration, made from the harness's own. */
+auto reconfigure(std::uint64_t version, std::function<void(Configuration&)> change) {
+  return [version, change](RouterHarness& harness, Data&) {
+    Configuration configuration = twoServices(version);
+    change(configuration);
+    harness.router.setConfiguration(viewOf(configuration));
+  };
+}
+
+void forEachBackend(Configuration& configuration, const std::function<void(Backend&)>& change) {
+  std::for_each(configuration.backends.begin(), configuration.backends.end(), change);
+}
+
+void moveBackends(Configuration& configuration) {
+  forEachBackend(configuration, [](Backend& backend) { backend.address.port = 9999; });
+}
+
+void reuseAddresses(Configuration& configuration) {
+  forEachBackend(configuration,
+                 [](Backend& backend) { backend.id = BackendId(backend.id.value() + 100); });
+}
+
+void allowOnlyAriana(Configuration& configuration) {
+  configuration.services[0].allowed_zones = {kAriana};
+}
+
+void swapServiceAddresses(Configuration& configuration) {
+  std::swap(configuration.services[0].address, configuration.services[1].address);
+}
+
+TEST_CASE("a datagram goes to the back end that its token names, or nowhere") {
+  const TokenRow rows[] = {
+      {"nothing wrong", Expected::Forwarded, Reason::None, [](RouterHarness&, Data&) {}},
+      {"one bit of the token changed", Expected::Reset, Reason::TokenInvalid,
+       [](RouterHarness&, Data& data) { data.token[20] ^= 1; }},
+      {"no token", Expected::Reset, Reason::TokenInvalid,
+       [](RouterHarness&, Data& data) { data.token.clear(); }},
+      {"token of another flow", Expected::Reset, Reason::TokenInvalid,
+       [](RouterHarness&, Data& data) { ++data.key.flow.low; }},
+      {"token of another attempt", Expected::Reset, Reason::TokenInvalid,
+       [](RouterHarness&, Data& data) { ++data.key.attempt; }},
+      {"addressed to another service", Expected::Reset, Reason::TokenForOtherService,
+       [](RouterHarness&, Data& data) { data.service = kIngest; }},
+      {"key not known here", Expected::Dropped, Reason::None,
+       reconfigure(10, [](Configuration& c) { c.keys[0].id = KeyId(9); })},
+      {"back end draining", Expected::Forwarded, Reason::None,
+       reconfigure(
+           11, [](Configuration& c) { forEachBackend(c, [](auto& b) { b.draining = true; }); })},
+      {"back end removed", Expected::Forwarded, Reason::None,
+       reconfigure(11, [](Configuration& c) { c.backends.clear(); })},
+      {"address reused by another back end", Expected::Reset, Reason::BackendGone,
+       reconfigure(11, reuseAddresses)},
+      {"back end moved", Expected::Reset, Reason::BackendGone, reconfigure(11, moveBackends)},
+      {"zone no longer allowed", Expected::Reset, Reason::ZoneNotAllowed,
+       reconfigure(11, allowOnlyAriana)},
+      {"service removed", Expected::Reset, Reason::TokenForOtherService,
+       reconfigure(11, [](Configuration& c) { c.services.erase(c.services.begin()); })},
+      // This balancer is behind: what it knows must not break a flow that the rest serves.
+      {"service not known yet", Expected::Dropped, Reason::None,
+       reconfigure(9, [](Configuration& c) { c.services.erase(c.services.begin()); })},
+      {"zone not allowed yet", Expected::Dropped, Reason::None, reconfigure(9, allowOnlyAriana)},
+      {"back end not moved yet", Expected::Dropped, Reason::None, reconfigure(9, moveBackends)},
+      {"address still of a former back end", Expected::Dropped, Reason::None,
+       reconfigure(9, reuseAddresses)},
+      {"service not moved yet", Expected::Dropped, Reason::None,
+       reconfigure(9, swapServiceAddresses)},
+      {"back end not declared yet", Expected::Forwarded, Reason::None,
+       reconfigure(9, [](Configuration& c) { c.backends.clear(); })},
+  };
+  for (const TokenRow& row : rows) {
+    INFO(row.name);
+    RouterHarness harness;
+    Data data{kListen, kKey, harness.open(kKey), 0, true, 0, Bytes(10, 1)};
+    row.fault(harness, data);
+    harness.receive(data);
+    if (row.expected == Expected::Dropped) {
+      CHECK(harness.sent.empty());
+      CHECK(harness.newer_seen);
+      CHECK(harness.router.counters().drops_configuration_behind == 1);
+    } else if (row.expected == Expected::Reset) {
+      const auto reset = harness.takeOnly<Reset>();
+      REQUIRE(reset);
+      CHECK(reset->reason == row.reason);
+      CHECK(harness.last_destination == kCaller);
+    } else {
+      const auto forward = harness.takeOnly<Forward>();
+      REQUIRE(forward);
+      CHECK(harness.last_destination == addressOf(forward->backend.value()));
+      CHECK(forward->caller == kCaller);
+      CHECK(forward->service == ServiceId(1));
+      CHECK(forward->mode == ForwardMode::MayStart);
+      CHECK(forward->datagram == encodeDatagram(data));
+    }
+  }
+}
+
+TEST_CASE("a token starts work only within the placement lifetime") {
+  struct Row {
+    Duration age;
+    ForwardMode mode;
+  };
+  const Row rows[] = {{seconds(0), ForwardMode::MayStart},
+                      {seconds(3), ForwardMode::MayStart},
+                      {seconds(3) + Duration(1), ForwardMode::ContinueOnly},
+                      {seconds(86400), ForwardMode::ContinueOnly}};
+  for (const Row& row : rows) {
+    RouterHarness harness;
+    const Data data{kListen, kKey, harness.open(kKey), 0, true, 0, {}};
+    harness.time.elapsed += row.age;
+    harness.receive(data);
+    const auto forward = harness.takeOnly<Forward>();
+    REQUIRE(forward);
+    CHECK(forward->mode == row.mode);
+  }
+}
+
+TEST_CASE("acknowledgements and cancellations follow the token, also when sprayed") {
+  RouterHarness harness;
+  const TokenBytes token = harness.open(kKey);
+  const Datagram datagrams[] = {AnswerAck{kListen, kKey, token, 3}, Cancel{kListen, kKey, token}};
+  for (const Datagram& datagram : datagrams) {
+    harness.receive(Sprayed{kCaller, encodeDatagram(datagram)}, kStranger);
+    const auto forward = harness.takeOnly<Forward>();
+    REQUIRE(forward);
+    CHECK(forward->caller == kCaller);
+    CHECK(forward->datagram == encodeDatagram(datagram));
+  }
+  harness.receive(Answer{kKey, ServiceId(1), BackendId(1), 0, true, {}});
+  CHECK(harness.sent.empty());
+  CHECK(harness.router.counters().drops_unexpected_type == 1);
+}
+
+BackendRefusal refusalBy(std::uint32_t backend, Reason reason, bool not_run) {
+  return {kCaller, kKey, ServiceId(1), BackendId(backend), reason, not_run, 700};
+}
+
+TEST_CASE("a back end's refusal is learned from and relayed with another placement") {
+  struct Row {
+    Reason reason;
+    bool replaced;
+  };
+  const Row rows[] = {{Reason::Overloaded, true},
+                      {Reason::Draining, true},
+                      {Reason::PlacementExpired, true},
+                      {Reason::Cancelled, false},
+                      {Reason::DeadlineExceeded, false}};
+  for (const Row& row : rows) {
+    INFO(toString(row.reason));
+    RouterHarness harness;
+    harness.receive(refusalBy(1, row.reason, true), addressOf(1));
+    const auto refused = harness.takeOnly<Refused>();
+    REQUIRE(refused);
+    CHECK(harness.last_destination == kCaller);
+    CHECK(refused->key == kKey);
+    CHECK(refused->reason == row.reason);
+    CHECK(refused->retry_after_ms == 700);
+    CHECK(refused->scope == RefusalScope::Attempt);
+    CHECK(refused->replacement.empty() != row.replaced);
+    CHECK(harness.draining_seen.has_value() == (row.reason == Reason::Draining));
+    if (row.replaced) {
+      const FlowKey next{kKey.flow, 1};
+      harness.receive(Data{kListen, next, refused->replacement, 0, true, 0, {}});
+      const auto forward = harness.takeOnly<Forward>();
+      REQUIRE(forward);
+      CHECK(forward->backend == BackendId(2));
+    }
+  }
+}
+
+TEST_CASE("a refusal that is not certain becomes a reset, never a second placement") {
+  RouterHarness harness;
+  harness.receive(refusalBy(1, Reason::BackendGone, false), addressOf(1));
+  const auto reset = harness.takeOnly<Reset>();
+  REQUIRE(reset);
+  CHECK(reset->reason == Reason::BackendGone);
+}
+
+TEST_CASE("a refusal from an address that is not the back end's is neither believed nor relayed") {
+  RouterHarness harness;
+  harness.receive(refusalBy(1, Reason::Draining, true), kStranger);
+  CHECK(harness.sent.empty());
+  CHECK_FALSE(harness.draining_seen);
+  CHECK(harness.router.counters().drops_unverified_refusal == 1);
+  BackendRefusal other_service = refusalBy(1, Reason::Draining, true);
+  other_service.service = ServiceId(2);
+  harness.receive(other_service, addressOf(1));
+  CHECK(harness.sent.empty());
+  // A back end that is no longer declared still tells its callers what became of their requests.
+  harness.receive(refusalBy(77, Reason::Draining, true), addressOf(77));
+  CHECK(harness.takeOnly<Refused>());
+}
+
+TEST_CASE("a blocked node relays a refusal without another placement") {
+  RouterHarness harness;
+  harness.blocked_by = Reason::Joining;
+  harness.receive(refusalBy(1, Reason::Overloaded, true), addressOf(1));
+  const auto refused = harness.takeOnly<Refused>();
+  REQUIRE(refused);
+  CHECK(refused->replacement.empty());
+  CHECK(refused->retry_after_ms == 700);
+}
+
+}  // namespace
+}  // namespace lugfork
--- a/tests/wire/datagram_codec_test.cc
+++ b/tests/wire/datagram_codec_test.cc
@@ -18,7 +18,7 @@
       Cancel{kService, kKey, TokenBytes(52, 7)},
       DataAck{kKey, 8},
       Answer{kKey, ServiceId(1), BackendId(2), 3, true, Bytes(1000, 9)},
-      Refused{kKey, Reason::Draining, 500, TokenBytes(52, 7)},
+      Refused{kKey, Reason::Draining, 500, TokenBytes(52, 7), RefusalScope::Attempt},
       Reset{kKey, Reason::BackendGone, 500},
       Sprayed{kService, Bytes(100, 1)},
       Forward{kService, BackendId(2), ServiceId(1), ForwardMode::ContinueOnly, Bytes(100, 1)},
