Place by aged reports within capacity shares, eject outliers, and limit retries

Cause: a report counted in full until its lifetime and then not at all, so a back end that stopped reporting looked empty; nothing kept a full back end from new flows (full_load was not used); what was placed here counted for ever until the next report; reports of "unreachable" could take away a whole service; refusals could be answered with replacements without limit, one for each piece of a refused request.

Change: - A report's weight falls smoothly with its age, towards the service's mean load. Placed requests fade with the service's residence time (requests present over placements a second). - A back end that is full by a fresh report, or whose share for this balancer is used up, is no candidate. With none left the refusal is final, with a wait that follows from the residence time. - The candidate list is made again at most every 200 ms; candidates that don't fit are taken out when they are drawn, so a change of one back end no longer costs a pass over all of them. - Outlier ejection by resets and by refusals that contradict the report, for a growing time with jitter, at most 30% of a service. With more than half of a service unreachable by report, the view is suspect and reachability is not looked at. - Retry budget (token bucket) for replacements of each service, and for the caller library, shared by its calls.

Ruled out: counting what was placed here times the number of balancers for the ranking; others' placements raise all candidates alike.

--- a/src/client/caller_flow.cc
+++ b/src/client/caller_flow.cc
@@ -7,16 +7,20 @@
 
 CallerFlow::CallerFlow(CallerSettings settings, CallRequest request, FlowId flow,
                        const TimeSource& time_source, RandomGenerator& random,
-                       CallerOutputs& outputs)
+                       CallerOutputs& outputs, RetryBudget* retry_budget)
     : settings_(settings),
       request_(std::move(request)),
       time_source_(time_source),
       random_(random),
       outputs_(outputs),
+      retry_budget_(retry_budget),
       key_{flow, 0} {}
 
 void CallerFlow::start() {
   started_at_ = time_source_.monotonicTime();
+  if (retry_budget_ != nullptr) {
+    retry_budget_->onFirstTry();
+  }
   beginAttempt();
 }
 
@@ -46,12 +50,12 @@
   }
   if (state_ == State::BackingOff) {
     if (now >= retry_at_) {
-      beginAttempt();
+      retryWithinBudget();
     }
     return;
   }
   if (state_ == State::Opening && now - attempt_started_at_ >= settings_.open_timeout) {
-    retryOrEnd(CallResult::NotRun, settings_.backoff_base);
+    waitToRetry(CallResult::NotRun, settings_.backoff_base);
     return;
   }
   if (state_ == State::Active && now - last_heard_at_ >= settings_.idle_timeout) {
@@ -73,6 +77,14 @@
   }
 }
 
+void CallerFlow::retryWithinBudget() {
+  if (retry_budget_ == nullptr || retry_budget_->tryTake()) {
+    beginAttempt();
+    return;
+  }
+  waitToRetry(pending_result_, settings_.backoff_base);
+}
+
 void CallerFlow::cancel() {
   if (state_ == State::Ended) {
     return;
@@ -146,7 +158,7 @@
     activate(refused.replacement);
     return;
   }
-  retryOrEnd(CallResult::NotRun, milliseconds(refused.retry_after_ms));
+  waitToRetry(CallResult::NotRun, milliseconds(refused.retry_after_ms));
 }
 
 void CallerFlow::handle(const Reset& reset) {
@@ -219,10 +231,10 @@
     end(CallResult::Unknown);
     return;
   }
-  retryOrEnd(CallResult::Unknown, retry_after);
+  waitToRetry(CallResult::Unknown, retry_after);
 }
 
-void CallerFlow::retryOrEnd(CallResult result, Duration retry_after) {
+void CallerFlow::waitToRetry(CallResult result, Duration retry_after) {
   retry_after_ = retry_after;
   const Duration wait = std::max(retry_after, backoff());
   retry_at_ = time_source_.monotonicTime() + wait;
@@ -232,6 +244,7 @@
     end(result);
     return;
   }
+  pending_result_ = result;
   state_ = State::BackingOff;
 }
 
--- a/src/client/caller_flow.h
+++ b/src/client/caller_flow.h
@@ -7,6 +7,7 @@
 
 #include "common/random_generator.h"
 #include "common/time_source.h"
+#include "flow/retry_budget.h"
 #include "wire/datagram.h"
 
 /** Caller library: takes one request through the balancers to its whole answer. */
@@ -65,8 +66,10 @@
 /** State machine of one call. Driven by datagrams and ticks; owns no clock and no socket. */
 class CallerFlow {
  public:
+  /** @param retry_budget shared by the calls of a process; nullptr for no limit. */
   CallerFlow(CallerSettings settings, CallRequest request, FlowId flow,
-             const TimeSource& time_source, RandomGenerator& random, CallerOutputs& outputs);
+             const TimeSource& time_source, RandomGenerator& random, CallerOutputs& outputs,
+             RetryBudget* retry_budget = nullptr);
 
   /** Begins the call. */
   void start();
@@ -123,7 +126,10 @@
   void sendAnswerAck();
   void deliverInOrder();
   void onAttemptBroken(Reason reason, Duration retry_after);
-  void retryOrEnd(CallResult result, Duration retry_after);
+
+  /** Waits for the given time or longer; ends at once where no attempt or time would be left. */
+  void waitToRetry(CallResult result, Duration retry_after);
+  void retryWithinBudget();
   void end(CallResult result);
   Duration backoff();
   bool deadlinePassed(MonotonicTime time) const;
@@ -134,6 +140,7 @@
   const TimeSource& time_source_;
   RandomGenerator& random_;
   CallerOutputs& outputs_;
+  RetryBudget* const retry_budget_;
   State state_ = State::Opening;
   FlowKey key_;
   TokenBytes token_;
@@ -152,6 +159,8 @@
   Duration resend_interval_{};
   std::uint32_t attempts_ = 0;
   std::uint32_t breaks_ = 0;
+  /** Result if the call ends while it waits to retry. */
+  CallResult pending_result_ = CallResult::NotRun;
   std::optional<CallResult> result_;
   Reason last_reason_ = Reason::None;
   Duration retry_after_{};
--- a/src/flow/backend_load_table.cc
+++ b/src/flow/backend_load_table.cc
@@ -1,14 +1,39 @@
 #include "flow/backend_load_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lugfork {
 
 namespace {
 
-double loadOf(const Backend& backend, double connections, double requests) {
-  const double connection_load = connections / backend.connections;
-  const double slot_load = requests / backend.slots;
+/** Part of a new sample in the smoothed placement rate and residence. */
+constexpr double kSmoothing = 0.3;
+
+/** Weight of a report from which it may close a back end to new flows. */
+constexpr double kTrustedReportWeight = 0.5;
+
+/** A balancer places on a free back end at least this often for each residence. */
+constexpr double kSmallestShare = 1;
+
+/** Part of a place by which the share may be exceeded, since placements are whole. */
+constexpr double kShareSlack = 0.5;
+
+double toSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+double smoothed(double old_value, double sample) {
+  return old_value + kSmoothing * (sample - old_value);
+}
+
+std::uint32_t requestsIn(const BackendReport& report) {
+  return report.busy_slots + report.queued_requests;
+}
+
+double loadOf(const Backend& backend, const BackendReport& report) {
+  const double connection_load = static_cast<double>(report.open_connections) / backend.connections;
+  const double slot_load = static_cast<double>(requestsIn(report)) / backend.slots;
   return std::max(connection_load, slot_load);
 }
 
@@ -23,15 +48,26 @@
   if (restarted) {
     entry.draining_seen = false;
   }
+  const MonotonicTime now = time_source_.monotonicTime();
+  // Placed while the report was on its way: not in its numbers yet.
+  const double lag_ms = static_cast<double>(toUnixMilliseconds(time_source_.systemTime())) -
+                        static_cast<double>(report.measured_at_ms);
+  const double interval_ms = 1000 * toSeconds(now - entry.report_received_at);
+  const double kept = entry.has_report && interval_ms > 0 ? lag_ms / interval_ms : 0;
+  entry.placed = placedAndPresent(entry) * std::clamp(kept, 0.0, 1.0);
+  entry.placed_at = now;
   entry.report = report;
   entry.has_report = true;
-  entry.report_received_at = time_source_.monotonicTime();
-  entry.placed_since_report = 0;
+  entry.report_received_at = now;
   return true;
 }
 
-void BackendLoadTable::onPlaced(BackendId backend) {
-  ++entries_[backend].placed_since_report;
+void BackendLoadTable::onPlaced(const Backend& backend) {
+  Entry& entry = entries_[backend.id];
+  entry.service = backend.service;
+  entry.placed = placedAndPresent(entry) + 1;
+  entry.placed_at = time_source_.monotonicTime();
+  ++services_[backend.service].placements;
 }
 
 void BackendLoadTable::onRefusal(BackendId backend, Duration retry_after) {
@@ -42,44 +78,119 @@
   entries_[backend].draining_seen = true;
 }
 
-bool BackendLoadTable::mayPlace(const Backend& backend) const {
+void BackendLoadTable::refreshService(ServiceId service, std::span<const Backend* const> backends) {
+  double load_sum = 0;
+  double requests = 0;
+  std::size_t reported = 0;
+  for (const Backend* backend : backends) {
+    const Entry* entry = find(backend->id);
+    if (entry == nullptr || !reportIsCurrent(*entry) || !entry->report.reachable) {
+      continue;
+    }
+    load_sum += loadOf(*backend, entry->report);
+    requests += requestsIn(entry->report);
+    ++reported;
+  }
+  ServiceLoad& load = services_[service];
+  updatePlacementRate(load);
+  if (reported == 0) {
+    return;
+  }
+  load.typical_load = load_sum / static_cast<double>(reported);
+  if (load.placement_rate <= 0) {
+    return;
+  }
+  const double all_requests =
+      requests * static_cast<double>(backends.size()) / static_cast<double>(reported);
+  const double sample =
+      std::clamp(all_requests / load.placement_rate, toSeconds(settings_.residence_min),
+                 toSeconds(settings_.residence_max));
+  const double residence = smoothed(toSeconds(load.residence), sample);
+  load.residence = Duration(static_cast<std::int64_t>(residence * 1e6));
+}
+
+void BackendLoadTable::updatePlacementRate(ServiceLoad& load) const {
+  const MonotonicTime now = time_source_.monotonicTime();
+  const double elapsed = toSeconds(now - load.refreshed_at);
+  if (load.refreshed_at != MonotonicTime() && elapsed > 0) {
+    const double placements = static_cast<double>(load.placements) * live_balancers_;
+    load.placement_rate = smoothed(load.placement_rate, placements / elapsed);
+  }
+  load.placements = 0;
+  load.refreshed_at = now;
+}
+
+bool BackendLoadTable::isLeaving(const Backend& backend) const {
   if (backend.draining) {
-    return false;
+    return true;
   }
   const Entry* entry = find(backend.id);
   if (entry == nullptr) {
-    return true;
+    return false;
   }
-  if (entry->draining_seen || time_source_.monotonicTime() < entry->no_new_work_until) {
+  return entry->draining_seen || (reportIsCurrent(*entry) && entry->report.draining);
+}
+
+bool BackendLoadTable::acceptsNewWork(const Backend& backend) const {
+  const Entry* entry = find(backend.id);
+  const bool refused_lately =
+      entry != nullptr && time_source_.monotonicTime() < entry->no_new_work_until;
+  return !refused_lately && !isLeaving(backend);
+}
+
+bool BackendLoadTable::looksReachable(const Backend& backend) const {
+  const Entry* entry = find(backend.id);
+  return entry == nullptr || !reportIsCurrent(*entry) || entry->report.reachable;
+}
+
+bool BackendLoadTable::isFull(const Backend& backend, double full_load) const {
+  const Entry* entry = find(backend.id);
+  if (entry == nullptr || reportWeight(*entry) < kTrustedReportWeight) {
     return false;
   }
-  if (!reportIsCurrent(*entry)) {
+  const BackendReport& report = entry->report;
+  const double startup_share = startupShare(*entry);
+  const double free_connections = static_cast<double>(backend.connections) * startup_share -
+                                  static_cast<double>(report.open_connections);
+  const double free_slots = backend.slots * full_load * startup_share - requestsIn(report);
+  const double free_places = std::min(free_connections, free_slots);
+  if (free_places <= 0) {
     return true;
   }
-  return entry->report.reachable && !entry->report.draining;
+  const double share = std::max(kSmallestShare, free_places / live_balancers_);
+  return placedAndPresent(*entry) > share - kShareSlack;
+}
+
+bool BackendLoadTable::hasRoom(const Backend& backend) const {
+  const Entry* entry = find(backend.id);
+  return entry != nullptr && reportWeight(*entry) >= kTrustedReportWeight &&
+         loadOf(backend, entry->report) < 1;
 }
 
 double BackendLoadTable::estimatedLoad(const Backend& backend) const {
+  const ServiceLoad* service = findService(backend.service);
+  const double typical_load = service == nullptr ? 0 : service->typical_load;
   const Entry* entry = find(backend.id);
   if (entry == nullptr) {
-    return 0;
-  }
-  const double placed = static_cast<double>(entry->placed_since_report) * live_balancers_;
-  if (!reportIsCurrent(*entry)) {
-    return loadOf(backend, placed, placed);
+    return typical_load;
   }
-  const BackendReport& report = entry->report;
-  const double requests = report.busy_slots + report.queued_requests + placed;
-  return loadOf(backend, report.open_connections + placed, requests) / startupShare(*entry);
+  const double weight = reportWeight(*entry);
+  const double reported = weight > 0 ? loadOf(backend, entry->report) : 0;
+  const double peers = settings_.peer_placement_weight * (live_balancers_ - 1);
+  const double placed = placedAndPresent(*entry) * (1 + peers) / backend.slots;
+  const double load = weight * reported + (1 - weight) * typical_load + placed;
+  return weight > 0 ? load / startupShare(*entry) : load;
 }
 
 double BackendLoadTable::reportedLoad(const Backend& backend) const {
   const Entry* entry = find(backend.id);
-  if (entry == nullptr || !reportIsCurrent(*entry)) {
-    return 0;
-  }
-  const BackendReport& report = entry->report;
-  return loadOf(backend, report.open_connections, report.busy_slots + report.queued_requests);
+  return entry == nullptr || !reportIsCurrent(*entry) ? 0 : loadOf(backend, entry->report);
+}
+
+Duration BackendLoadTable::residence(ServiceId service) const {
+  const ServiceLoad* load = findService(service);
+  const Duration residence = load == nullptr ? Duration::zero() : load->residence;
+  return std::clamp(residence, settings_.residence_min, settings_.residence_max);
 }
 
 const BackendReport* BackendLoadTable::lastReport(BackendId backend) const {
@@ -92,9 +203,30 @@
   return found == entries_.end() ? nullptr : &found->second;
 }
 
+const BackendLoadTable::ServiceLoad* BackendLoadTable::findService(ServiceId service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
 bool BackendLoadTable::reportIsCurrent(const Entry& entry) const {
+  return reportWeight(entry) > 0;
+}
+
+double BackendLoadTable::reportWeight(const Entry& entry) const {
+  if (!entry.has_report) {
+    return 0;
+  }
   const Duration age = time_source_.monotonicTime() - entry.report_received_at;
-  return entry.has_report && age < settings_.report_lifetime;
+  const double part = toSeconds(age) / toSeconds(settings_.report_lifetime);
+  return std::max(0.0, 1 - part * part);
+}
+
+double BackendLoadTable::placedAndPresent(const Entry& entry) const {
+  if (entry.placed == 0) {
+    return 0;
+  }
+  const Duration age = time_source_.monotonicTime() - entry.placed_at;
+  return entry.placed * std::exp(-toSeconds(age) / toSeconds(residence(entry.service)));
 }
 
 double BackendLoadTable::startupShare(const Entry& entry) const {
--- a/src/flow/backend_load_table.h
+++ b/src/flow/backend_load_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <span>
 #include <unordered_map>
 
 #include "common/time_source.h"
@@ -10,12 +11,17 @@
 
 /** Tunables of the load estimate. */
 struct LoadEstimateSettings {
-  /** A report older than this says nothing about load any more. */
+  /** Age at which a report says nothing any more; its weight falls smoothly until then. */
   Duration report_lifetime = seconds(10);
   /** A back end younger than this gets a rising share of new flows. */
   Duration slow_start = seconds(10);
   /** Share that a back end gets right after its start. */
   double slow_start_floor = 0.1;
+  /** What was placed here stands for 1 + (live balancers - 1) times this much. */
+  double peer_placement_weight = 0;
+  /** Bounds of the estimated time for which a placed request counts to a back end's load. */
+  Duration residence_min = milliseconds(20);
+  Duration residence_max = seconds(10);
 };
 
 /**
@@ -31,7 +37,7 @@
   bool onReport(const BackendReport& report);
 
   /** Notes that this balancer placed a flow on the back end. */
-  void onPlaced(BackendId backend);
+  void onPlaced(const Backend& backend);
 
   /** Notes the back end's own word that it takes nothing new for a while. */
   void onRefusal(BackendId backend, Duration retry_after);
@@ -39,18 +45,48 @@
   /** Notes the back end's own word that it is leaving. */
   void onDrainingSeen(BackendId backend);
 
-  /** Balancers that place flows; what was placed here stands for that many times as much. */
+  /** Sets the number of balancers that place flows; a back end's free places are shared by them. */
   void setLiveBalancers(std::uint32_t count) { live_balancers_ = count == 0 ? 1 : count; }
 
-  /** @return true if the back end may get new flows. */
-  bool mayPlace(const Backend& backend) const;
+  /**
+   * Learns what the back ends of a service have in common: the mean load, and how long a request
+   * stays (requests present over requests placed a second). To be called a few times a second.
+   */
+  void refreshService(ServiceId service, std::span<const Backend* const> backends);
 
-  /** @return estimated load over capacity; 1 stands for full. */
+  /** @return true if the back end may get new flows; both of the following. */
+  bool mayPlace(const Backend& backend) const {
+    return acceptsNewWork(backend) && looksReachable(backend);
+  }
+
+  /** @return true where the back end is declared to leave, or says itself that it leaves. */
+  bool isLeaving(const Backend& backend) const;
+
+  /** @return false where the back end leaves or has just refused, by its own word. */
+  bool acceptsNewWork(const Backend& backend) const;
+
+  /** @return false where a current report says that the back end can't be reached. */
+  bool looksReachable(const Backend& backend) const;
+
+  /**
+   * @param full_load load over slots from which a back end is full.
+   * @return true if the back end is full by a fresh report, or if this balancer has used its share
+   * of the places that the report showed free.
+   */
+  bool isFull(const Backend& backend, double full_load) const;
+
+  /** @return true where a fresh report shows a free slot. */
+  bool hasRoom(const Backend& backend) const;
+
+  /** @return estimated load over capacity; 1 stands for all slots busy. */
   double estimatedLoad(const Backend& backend) const;
 
   /** @return last reported load over capacity, without what was placed since. */
   double reportedLoad(const Backend& backend) const;
 
+  /** @return estimated time for which a request of the service stays at its back end. */
+  Duration residence(ServiceId service) const;
+
   /** @return the last report, or nullptr. */
   const BackendReport* lastReport(BackendId backend) const;
 
@@ -59,18 +95,40 @@
     BackendReport report;
     MonotonicTime report_received_at;
     bool has_report = false;
-    std::uint32_t placed_since_report = 0;
+    /** Requests placed here and believed to be present still, as of placed_at. */
+    double placed = 0;
+    MonotonicTime placed_at;
+    ServiceId service;
     bool draining_seen = false;
     MonotonicTime no_new_work_until;
   };
 
+  struct ServiceLoad {
+    double typical_load = 0;
+    Duration residence{};
+    /** Placements by this balancer since the last refresh. */
+    std::uint64_t placements = 0;
+    /** Smoothed placements a second by all balancers. */
+    double placement_rate = 0;
+    MonotonicTime refreshed_at;
+  };
+
   const Entry* find(BackendId backend) const;
+  const ServiceLoad* findService(ServiceId service) const;
   bool reportIsCurrent(const Entry& entry) const;
+
+  /** @return how far the report is believed, from 1 (new) to 0 (at the end of its lifetime). */
+  double reportWeight(const Entry& entry) const;
   double startupShare(const Entry& entry) const;
 
+  /** @return requests placed here that are believed to be present and not in the report. */
+  double placedAndPresent(const Entry& entry) const;
+  void updatePlacementRate(ServiceLoad& load) const;
+
   const LoadEstimateSettings settings_;
   const TimeSource& time_source_;
   std::unordered_map<BackendId, Entry> entries_;
+  std::unordered_map<ServiceId, ServiceLoad> services_;
   std::uint32_t live_balancers_ = 1;
 };
 
--- a/src/flow/flow_counters.h
+++ b/src/flow/flow_counters.h
@@ -15,6 +15,8 @@
 struct FlowCounters {
   std::uint64_t placements = 0;
   std::uint64_t replacements = 0;
+  /** Refusals that were relayed without a replacement because the retry budget was used up. */
+  std::uint64_t replacements_over_budget = 0;
   std::uint64_t forwards = 0;
   std::uint64_t forwards_continue_only = 0;
   /** Datagrams whose token is newer than the configuration in force; dropped, callers resend. */
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -88,10 +88,17 @@
     return;
   }
   ++counters_.placements;
+  retryBudgetOf(service->id).onFirstTry();
   sender_.sendDatagram(caller,
                        Placed{open.key, sealPlacement(open.key, *service, *placed.value())});
 }
 
+void FlowRouter::noteProgress(const AnswerAck& ack, BackendId backend) {
+  if (ack.next_expected > 0) {
+    placement_.onBackendProgress(backend);
+  }
+}
+
 template <typename TokenDatagram>
 void FlowRouter::relay(const TokenDatagram& datagram, std::span<const std::uint8_t> bytes,
                        Endpoint caller) {
@@ -119,6 +126,7 @@
     reset(caller, datagram.key, destination.error());
     return;
   }
+  noteProgress(datagram, placement.backend);
   const ForwardMode mode = forwardModeOf(placement);
   ++(mode == ForwardMode::MayStart ? counters_.forwards : counters_.forwards_continue_only);
   sender_.sendDatagram(destination.value(), Forward{caller, placement.backend, placement.service,
@@ -175,19 +183,18 @@
       ++counters_.drops_unverified_refusal;
       return;
     }
-    learnFromRefusal(refusal);
+    learnFromRefusal(refusal, *backend);
   }
   relayRefusal(refusal);
 }
 
-void FlowRouter::learnFromRefusal(const BackendRefusal& refusal) {
+void FlowRouter::learnFromRefusal(const BackendRefusal& refusal, const Backend& backend) {
+  placement_.onBackendRefusal(backend, refusal.key, refusal.reason);
   if (refusal.reason == Reason::Draining) {
     loads_.onDrainingSeen(refusal.backend);
-    placement_.invalidateCandidates();
     host_.onBackendDraining(refusal.backend);
   } else if (refusal.reason == Reason::Overloaded) {
     loads_.onRefusal(refusal.backend, milliseconds(refusal.retry_after_ms));
-    placement_.invalidateCandidates();
   }
 }
 
@@ -212,6 +219,15 @@
   if (!attempts_left || host_.placementBlockedBy() != Reason::None) {
     return {};
   }
+  RecentReplacement& recent =
+      recent_replacements_[std::hash<FlowKey>{}(refusal.key) % recent_replacements_.size()];
+  if (recent.refused == refusal.key && !recent.token.empty()) {
+    return recent.token;
+  }
+  if (!retryBudgetOf(service.id).tryTake()) {
+    ++counters_.replacements_over_budget;
+    return {};
+  }
   const auto placed = placement_.place(service, refusal.key.flow, refusal.backend);
   if (!placed) {
     return {};
@@ -219,7 +235,12 @@
   ++counters_.replacements;
   FlowKey next_attempt = refusal.key;
   ++next_attempt.attempt;
-  return sealPlacement(next_attempt, service, *placed.value());
+  recent = {refusal.key, sealPlacement(next_attempt, service, *placed.value())};
+  return recent.token;
+}
+
+RetryBudget& FlowRouter::retryBudgetOf(ServiceId service) {
+  return retry_budgets_.try_emplace(service, settings_.retry_budget, time_source_).first->second;
 }
 
 TokenBytes FlowRouter::sealPlacement(const FlowKey& key, const Service& service,
--- a/src/flow/flow_router.h
+++ b/src/flow/flow_router.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <array>
 #include <span>
+#include <unordered_map>
 
 #include "common/random_generator.h"
 #include "common/time_source.h"
 #include "config/configuration.h"
 #include "flow/flow_counters.h"
 #include "flow/placement_engine.h"
+#include "flow/retry_budget.h"
 #include "flow/token.h"
 #include "wire/datagram.h"
 
@@ -40,6 +43,8 @@
   Duration placement_lifetime = seconds(3);
   /** Time that callers are told to wait when this node can't place. */
   Duration retry_after = seconds(1);
+  /** Limits immediate placements after a refusal, for each service. */
+  RetryBudgetSettings retry_budget;
 };
 
 /**
@@ -68,7 +73,7 @@
   void onBackendRefusal(const BackendRefusal& refusal, Endpoint from);
 
   /** Updates the view of the back end; only for refusals that come from its own address. */
-  void learnFromRefusal(const BackendRefusal& refusal);
+  void learnFromRefusal(const BackendRefusal& refusal, const Backend& backend);
 
   /** Gives the caller its final answer at once, with a new placement where there is one. */
   void relayRefusal(const BackendRefusal& refusal);
@@ -77,6 +82,11 @@
   template <typename TokenDatagram>
   void relay(const TokenDatagram& datagram, std::span<const std::uint8_t> bytes, Endpoint caller);
 
+  /** Learns from a confirmed piece of an answer that the back end works. */
+  void noteProgress(const AnswerAck& ack, BackendId backend);
+  template <typename Other>
+  void noteProgress(const Other&, BackendId) {}
+
   void onTokenError(TokenError error, const FlowKey& key, Endpoint caller);
 
   /**
@@ -87,11 +97,21 @@
   Result<Endpoint, Reason> resolveBackend(const Placement& placement, Endpoint addressed_service);
 
   ForwardMode forwardModeOf(const Placement& placement) const;
+  RetryBudget& retryBudgetOf(ServiceId service);
+
+  /** @return a token for the next attempt, the same for copies of one refusal; or nothing. */
   TokenBytes placeAgain(const BackendRefusal& refusal, const Service& service);
   TokenBytes sealPlacement(const FlowKey& key, const Service& service, const Backend& backend);
   void refuseOpen(Endpoint caller, const FlowKey& key, Reason reason, Duration retry_after);
   void reset(Endpoint caller, const FlowKey& key, Reason reason);
 
+  /** Every piece of a refused attempt is refused again; the copies get the same answer. */
+  struct RecentReplacement {
+    FlowKey refused;
+    TokenBytes token;
+  };
+  static constexpr std::size_t kRecentReplacements = 256;
+
   const FlowRouterSettings settings_;
   const TimeSource& time_source_;
   DatagramSender& sender_;
@@ -100,6 +120,8 @@
   FlowRouterHost& host_;
   ConfigurationViewPtr configuration_;
   FlowCounters counters_;
+  std::unordered_map<ServiceId, RetryBudget> retry_budgets_;
+  std::array<RecentReplacement, kRecentReplacements> recent_replacements_;
 };
 
 }  // namespace lugfork
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -34,7 +34,8 @@
       policy_(std::move(policy)),
       loads_(loads),
       time_source_(time_source),
-      random_(random) {}
+      random_(random),
+      outliers_(settings_.outliers, time_source, random) {}
 
 void PlacementEngine::setConfiguration(ConfigurationViewPtr configuration) {
   candidates_.clear();
@@ -44,41 +45,97 @@
 Result<const Backend*, PlacementRefusal> PlacementEngine::place(const Service& service,
                                                                 const FlowId& flow,
                                                                 BackendId excluded) {
-  const std::vector<const Backend*>* backends = &candidatesOf(service).backends;
-  std::vector<const Backend*> without_excluded;
-  if (excluded != BackendId()) {
-    std::copy_if(backends->begin(), backends->end(), std::back_inserter(without_excluded),
-                 [&](const Backend* backend) { return backend->id != excluded; });
-    backends = &without_excluded;
+  CandidateList& list = candidatesOf(service);
+  const Backend* chosen = choose(list, flow);
+  if (chosen != nullptr && chosen->id == excluded) {
+    std::vector<const Backend*>& backends = list.backends;
+    std::iter_swap(std::find(backends.begin(), backends.end(), chosen), backends.end() - 1);
+    backends.pop_back();
+    const Backend* refused_before = chosen;
+    chosen = choose(list, flow);
+    backends.push_back(refused_before);
   }
-  if (backends->empty()) {
-    return PlacementRefusal{Reason::NoBackendInAllowedZones, settings_.retry_after};
+  if (chosen == nullptr) {
+    return refusalFor(service, list);
   }
-  const LoadedCandidates candidates(*backends, loads_);
-  const Backend& chosen = candidates.backend(policy_->choose(candidates, flow, random_));
-  loads_.onPlaced(chosen.id);
-  return &chosen;
+  loads_.onPlaced(*chosen);
+  return chosen;
 }
 
-const PlacementEngine::CandidateList& PlacementEngine::candidatesOf(const Service& service) {
-  const MonotonicTime now = time_source_.monotonicTime();
+void PlacementEngine::onBackendRefusal(const Backend& backend, const FlowKey& attempt,
+                                       Reason reason) {
+  const bool contradicts_report = reason == Reason::Overloaded && loads_.hasRoom(backend);
+  const bool lost_state = reason == Reason::BackendGone || reason == Reason::WrongBackend;
+  const Service* service = configuration_->service(backend.service);
+  if (service == nullptr || !(contradicts_report || lost_state)) {
+    return;
+  }
+  outliers_.onFailure(backend, attempt, candidatesOf(*service).size_when_made);
+}
+
+const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow) {
+  std::vector<const Backend*>& backends = list.backends;
+  while (!backends.empty()) {
+    const LoadedCandidates candidates(backends, loads_);
+    const std::size_t index = policy_->choose(candidates, flow, random_);
+    const Backend* chosen = backends[index];
+    if (fits(*chosen, list)) {
+      return chosen;
+    }
+    backends[index] = backends.back();
+    backends.pop_back();
+  }
+  return nullptr;
+}
+
+bool PlacementEngine::fits(const Backend& backend, const CandidateList& list) const {
+  return loads_.acceptsNewWork(backend) && !outliers_.isEjected(backend.id) &&
+         (list.ignore_reachability || loads_.looksReachable(backend)) &&
+         !loads_.isFull(backend, settings_.full_load);
+}
+
+PlacementRefusal PlacementEngine::refusalFor(const Service& service, const CandidateList& list) {
+  if (list.size_when_made == 0) {
+    return {Reason::NoBackendInAllowedZones, settings_.retry_after};
+  }
+  // By then about half of the present requests have ended; spread, so that callers don't bunch.
+  const double spread = 0.5 + random_.unit();
+  const double wait = static_cast<double>(loads_.residence(service.id).count()) * spread;
+  return {Reason::Overloaded,
+          std::clamp(Duration(static_cast<std::int64_t>(wait)), settings_.retry_after_full_min,
+                     settings_.retry_after_full_max)};
+}
+
+PlacementEngine::CandidateList& PlacementEngine::candidatesOf(const Service& service) {
   CandidateList& list = candidates_[service.id];
-  const bool never_made = list.made_at == MonotonicTime();
-  if (never_made || now - list.made_at > settings_.candidate_list_lifetime) {
-    list.backends = eligibleBackends(service);
-    list.made_at = now;
+  if (isStale(list)) {
+    makeCandidates(service, list);
   }
   return list;
 }
 
-std::vector<const Backend*> PlacementEngine::eligibleBackends(const Service& service) const {
-  std::vector<const Backend*> eligible;
+bool PlacementEngine::isStale(const CandidateList& list) const {
+  const bool never_made = list.made_at == MonotonicTime();
+  const Duration lifetime =
+      list.backends.empty() ? settings_.empty_list_lifetime : settings_.candidate_list_lifetime;
+  return never_made || time_source_.monotonicTime() - list.made_at > lifetime;
+}
+
+void PlacementEngine::makeCandidates(const Service& service, CandidateList& list) {
+  list.made_at = time_source_.monotonicTime();
+  list.backends.clear();
+  std::size_t reachable = 0;
   for (const Backend* backend : configuration_->backendsOf(service.id)) {
-    if (service.allowsZone(backend->zone) && loads_.mayPlace(*backend)) {
-      eligible.push_back(backend);
+    if (!service.allowsZone(backend->zone) || loads_.isLeaving(*backend)) {
+      continue;
     }
+    reachable += loads_.looksReachable(*backend) ? 1 : 0;
+    list.backends.push_back(backend);
   }
-  return eligible;
+  loads_.refreshService(service.id, list.backends);
+  list.ignore_reachability = static_cast<double>(reachable) <
+                             settings_.panic_threshold * static_cast<double>(list.backends.size());
+  list.size_when_made = list.backends.size();
 }
 
 }  // namespace lugfork
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -4,6 +4,7 @@
 
 #include "common/result.h"
 #include "flow/backend_load_table.h"
+#include "flow/outlier_detector.h"
 #include "flow/policy/placement_policy.h"
 #include "wire/datagram.h"
 
@@ -19,10 +20,18 @@
 struct PlacementSettings {
   /** Longest time for which a list of candidates is used before it is made again. */
   Duration candidate_list_lifetime = milliseconds(200);
-  /** Estimated load over capacity from which a back end counts as full. */
-  double full_load = 1.0;
-  /** Time that callers are told to wait when nothing can take their flow. */
+  /** The same for a list that has become empty. */
+  Duration empty_list_lifetime = milliseconds(50);
+  /** Requests over slots from which a back end counts as full. */
+  double full_load = 4.0;
+  /** Smallest share of reachable back ends with which reports of reachability are believed. */
+  double panic_threshold = 0.5;
+  /** Bounds of the time that callers are told to wait when every back end is full. */
+  Duration retry_after_full_min = milliseconds(100);
+  Duration retry_after_full_max = seconds(5);
+  /** Time that callers are told to wait when there is no candidate at all. */
   Duration retry_after = seconds(1);
+  OutlierSettings outliers;
 };
 
 /**
@@ -47,20 +56,46 @@
   Result<const Backend*, PlacementRefusal> place(const Service& service, const FlowId& flow,
                                                  BackendId excluded = BackendId());
 
+  /**
+   * Takes data-path evidence against a back end: a reset, or a refusal as overloaded although its
+   * report shows room.
+   * @param attempt what was refused; copies of one attempt count once.
+   */
+  void onBackendRefusal(const Backend& backend, const FlowKey& attempt, Reason reason);
+
+  /** Takes data-path evidence that a back end works: a caller confirmed a piece of its answer. */
+  void onBackendProgress(BackendId backend) { outliers_.onSuccess(backend); }
+
+  bool isEjected(BackendId backend) const { return outliers_.isEjected(backend); }
+
  private:
+  /** Back ends that may be chosen; those found not to fit are taken out until it is made again. */
   struct CandidateList {
     std::vector<const Backend*> backends;
     MonotonicTime made_at;
+    /** Back ends in allowed zones that are not leaving, whether they fit or not. */
+    std::size_t size_when_made = 0;
+    /** Most back ends look unreachable, so the view is suspect: reachability is not looked at. */
+    bool ignore_reachability = false;
   };
 
-  const CandidateList& candidatesOf(const Service& service);
-  std::vector<const Backend*> eligibleBackends(const Service& service) const;
+  CandidateList& candidatesOf(const Service& service);
+  void makeCandidates(const Service& service, CandidateList& list);
+  bool isStale(const CandidateList& list) const;
+
+  /** @return false where the back end is full, refused lately, is ejected or looks unreachable. */
+  bool fits(const Backend& backend, const CandidateList& list) const;
+
+  /** Chooses from the list and takes out what does not fit. @return nullptr if nothing is left. */
+  const Backend* choose(CandidateList& list, const FlowId& flow);
+  PlacementRefusal refusalFor(const Service& service, const CandidateList& list);
 
   const PlacementSettings settings_;
   PlacementPolicyPtr policy_;
   BackendLoadTable& loads_;
   const TimeSource& time_source_;
   RandomGenerator& random_;
+  OutlierDetector outliers_;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
 };
--- a/tests/client/caller_flow_test.cc
+++ b/tests/client/caller_flow_test.cc
@@ -194,6 +194,29 @@
   CHECK(call.count<Open>(1) == 1);
 }
 
+TEST_CASE("a call waits for the retry budget that it shares with others") {
+  CallHarness call(true);
+  RetryBudget budget({0, 1, 1}, call.time);
+  REQUIRE(budget.tryTake());
+  CallRequest request;
+  request.make_pieces = [](std::uint32_t) { return std::vector<Bytes>(1); };
+  CallerFlow flow({}, request, kFlow, call.time, *call.random, call, &budget);
+  flow.start();
+  call.sent.clear();
+  flow.onDatagram(Refused{{kFlow, 0}, Reason::Overloaded, 1, {}, RefusalScope::Placement});
+  for (int tick = 0; tick < 9; ++tick) {
+    call.time.elapsed += milliseconds(100);
+    flow.onTick();
+  }
+  CHECK(call.count<Open>(1) == 0);
+  CHECK_FALSE(flow.result());
+  for (int tick = 0; tick < 10; ++tick) {
+    call.time.elapsed += milliseconds(100);
+    flow.onTick();
+  }
+  CHECK(flow.key().attempt == 1);
+}
+
 TEST_CASE("a call that was never placed ends as not run, with a time to come back") {
   CallerSettings settings;
   settings.max_attempts = 1;
--- a/tests/flow/flow_router_test.cc
+++ b/tests/flow/flow_router_test.cc
@@ -247,6 +247,24 @@
   CHECK(harness.takeOnly<Refused>());
 }
 
+TEST_CASE("copies of one refusal get one replacement, and the retry budget limits replacements") {
+  RouterHarness harness;
+  harness.receive(refusalBy(1, Reason::Overloaded, true), addressOf(1));
+  const auto first = harness.takeOnly<Refused>();
+  harness.receive(refusalBy(1, Reason::Overloaded, true), addressOf(1));
+  const auto copy = harness.takeOnly<Refused>();
+  REQUIRE((first && copy));
+  CHECK(first->replacement == copy->replacement);
+  CHECK(harness.router.counters().replacements == 1);
+  for (std::uint64_t flow = 100; flow < 200; ++flow) {
+    BackendRefusal refusal = refusalBy(1, Reason::PlacementExpired, true);
+    refusal.key.flow.low = flow;
+    harness.receive(refusal, addressOf(1));
+  }
+  CHECK(harness.router.counters().replacements == 50);
+  CHECK(harness.router.counters().replacements_over_budget == 51);
+}
+
 TEST_CASE("a blocked node relays a refusal without another placement") {
   RouterHarness harness;
   harness.blocked_by = Reason::Joining;
--- /dev/null
+++ b/tests/flow/outlier_detector_test.cc
@@ -0,0 +1,97 @@
+#include "flow/outlier_detector.h"
+
+#include <catch2/catch.hpp>
+
+#include "flow/retry_budget.h"
+#include "flow/router_harness.h"
+
+namespace lugfork {
+namespace {
+
+struct OutlierHarness {
+  void fail(std::uint32_t id, int times) {
+    for (int time_index = 0; time_index < times; ++time_index) {
+      detector.onFailure(makeBackend(id, ServiceId(1), kLac), FlowKey{{1, ++attempts}, 0}, 10);
+    }
+  }
+
+  /** @return how long the back end stays ejected from now on. */
+  Duration timeEjected(std::uint32_t id) {
+    const Duration start = time.elapsed;
+    while (detector.isEjected(BackendId(id))) {
+      time.elapsed += milliseconds(10);
+    }
+    return time.elapsed - start;
+  }
+
+  ManualTimeSource time;
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(3);
+  OutlierDetector detector{OutlierSettings(), time, *random};
+  std::uint64_t attempts = 0;
+};
+
+TEST_CASE("an ejection follows from failures in a row, and grows with each one") {
+  OutlierHarness harness;
+  harness.fail(1, 4);
+  CHECK_FALSE(harness.detector.isEjected(BackendId(1)));
+  harness.detector.onSuccess(BackendId(1));
+  harness.fail(1, 4);
+  CHECK_FALSE(harness.detector.isEjected(BackendId(1)));
+  harness.fail(1, 1);
+  for (int ejection = 1; ejection <= 3; ++ejection) {
+    const Duration ejected = harness.timeEjected(1);
+    CHECK(ejected >= seconds(5 * ejection));
+    CHECK(ejected <= seconds(6 * ejection) + milliseconds(10));
+    harness.fail(1, 5);
+  }
+}
+
+TEST_CASE("copies of one attempt and failures long ago do not add up") {
+  OutlierHarness harness;
+  const Backend backend = makeBackend(1, ServiceId(1), kLac);
+  for (int copy = 0; copy < 50; ++copy) {
+    harness.detector.onFailure(backend, FlowKey{{1, 1}, 0}, 10);
+  }
+  CHECK_FALSE(harness.detector.isEjected(backend.id));
+  for (int failure = 0; failure < 10; ++failure) {
+    harness.time.elapsed += seconds(11);
+    harness.fail(2, 1);
+  }
+  CHECK_FALSE(harness.detector.isEjected(BackendId(2)));
+}
+
+TEST_CASE("no more than the set share of a service is ejected at a time") {
+  OutlierHarness harness;
+  for (std::uint32_t id = 1; id <= 10; ++id) {
+    harness.fail(id, 20);
+  }
+  int ejected = 0;
+  for (std::uint32_t id = 1; id <= 10; ++id) {
+    ejected += harness.detector.isEjected(BackendId(id)) ? 1 : 0;
+  }
+  CHECK(ejected == 3);
+}
+
+TEST_CASE("a retry budget allows a share of first tries, a floor, and no more than its capacity") {
+  ManualTimeSource time;
+  RetryBudget budget({0.2, 2, 5}, time);
+  const auto drain = [&] {
+    int taken = 0;
+    while (budget.tryTake()) {
+      ++taken;
+    }
+    return taken;
+  };
+  CHECK(drain() == 5);
+  for (int first_try = 0; first_try < 11; ++first_try) {
+    budget.onFirstTry();
+  }
+  CHECK(drain() == 2);
+  time.elapsed += seconds(1);
+  CHECK(drain() == 2);
+  time.elapsed += seconds(100);
+  CHECK(drain() == 5);
+}
+
+}  // namespace
+}  // namespace lugfork
--- /dev/null
+++ b/tests/flow/placement_engine_test.cc
@@ -0,0 +1,238 @@
+#include "flow/placement_engine.h"
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+
+#include "flow/router_harness.h"
+
+namespace lugfork {
+namespace {
+
+/** One service with that many back ends in one zone, and the engine that places its flows. */
+struct PlacementHarness {
+  explicit PlacementHarness(std::uint32_t backends, const std::string& policy = "power_of_two",
+                            PlacementSettings settings = {})
+      : engine(settings, makePlacementPolicy(policy), loads, time, *random) {
+    Configuration configuration = twoServices();
+    configuration.backends.clear();
+    for (std::uint32_t id = 1; id <= backends; ++id) {
+      configuration.backends.push_back(makeBackend(id, ServiceId(1), kLac));
+    }
+    setConfiguration(configuration);
+  }
+
+  void setConfiguration(const Configuration& configuration) {
+    view = viewOf(configuration);
+    engine.setConfiguration(view);
+  }
+
+  const Service& service() const { return *view->service(ServiceId(1)); }
+  const Backend& backend(std::uint32_t id) const { return *view->backend(BackendId(id)); }
+
+  void report(std::uint32_t id, std::uint32_t busy, std::uint32_t queued = 0,
+              std::uint32_t uptime_ms = 1000000) {
+    BackendReport report{BackendId(id), true, false, 0, busy, queued, uptime_ms, 0};
+    report.measured_at_ms = toUnixMilliseconds(time.systemTime());
+    loads.onReport(report);
+  }
+
+  void reportUnreachable(std::uint32_t id) {
+    BackendReport report;
+    report.backend = BackendId(id);
+    report.measured_at_ms = toUnixMilliseconds(time.systemTime());
+    loads.onReport(report);
+  }
+
+  Result<const Backend*, PlacementRefusal> place() {
+    return engine.place(service(), FlowId{1, ++flows});
+  }
+
+  /** @return placements by back end; refusals under 0. */
+  std::map<std::uint32_t, int> placeMany(int count) {
+    std::map<std::uint32_t, int> placements;
+    for (int placed = 0; placed < count; ++placed) {
+      const auto chosen = place();
+      ++placements[chosen ? chosen.value()->id.value() : 0];
+    }
+    return placements;
+  }
+
+  ManualTimeSource time;
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(3);
+  BackendLoadTable loads{LoadEstimateSettings(), time};
+  PlacementEngine engine;
+  ConfigurationViewPtr view;
+  std::uint64_t flows = 0;
+};
+
+TEST_CASE("back ends that may not get new work are not chosen, under any policy") {
+  struct Row {
+    const char* name;
+    std::function<void(PlacementHarness&)> arrange;
+  };
+  const Row rows[] = {
+      {"unreachable", [](PlacementHarness& harness) { harness.reportUnreachable(1); }},
+      {"said that it drains",
+       [](PlacementHarness& harness) { harness.loads.onDrainingSeen(BackendId(1)); }},
+      {"refused lately",
+       [](PlacementHarness& harness) { harness.loads.onRefusal(BackendId(1), seconds(1)); }},
+      {"full by its report", [](PlacementHarness& harness) { harness.report(1, 2, 6); }},
+      {"declared draining",
+       [](PlacementHarness& harness) {
+         Configuration configuration = harness.view->document();
+         configuration.backends[0].draining = true;
+         harness.setConfiguration(configuration);
+       }},
+  };
+  for (const std::string& policy : placementPolicyNames()) {
+    for (const Row& row : rows) {
+      INFO(policy << ", " << row.name);
+      PlacementHarness harness(4, policy);
+      REQUIRE(harness.placeMany(100).count(1) == 1);
+      row.arrange(harness);
+      const auto placements = harness.placeMany(100);
+      CHECK(placements.count(1) == 0);
+      CHECK(placements.count(0) == 0);
+    }
+  }
+}
+
+TEST_CASE("with every back end full, new flows are refused at once with a time to come back") {
+  PlacementHarness harness(4);
+  for (std::uint32_t id = 1; id <= 4; ++id) {
+    harness.report(id, 2, 6);
+  }
+  const auto refused = harness.place();
+  REQUIRE_FALSE(refused);
+  CHECK(refused.error().reason == Reason::Overloaded);
+  CHECK(refused.error().retry_after >= milliseconds(100));
+  harness.time.elapsed += seconds(1);
+  harness.report(2, 0);
+  REQUIRE(harness.place());
+}
+
+TEST_CASE("balancers share the free places of a back end between its reports") {
+  PlacementHarness harness(2);
+  harness.loads.setLiveBalancers(4);
+  harness.report(1, 0);
+  harness.report(2, 0);
+  // Two slots, full at four times that: 8 places, so 2 for each balancer and back end.
+  CHECK(harness.placeMany(20)[0] == 16);
+}
+
+TEST_CASE("without reports nothing counts as full") {
+  PlacementHarness harness(2);
+  CHECK(harness.placeMany(1000).count(0) == 0);
+}
+
+TEST_CASE("a report's weight falls smoothly with its age, towards what the others have") {
+  PlacementHarness harness(2);
+  harness.report(1, 2);
+  harness.report(2, 0);
+  REQUIRE(harness.place());
+  double before = harness.loads.estimatedLoad(harness.backend(1));
+  CHECK(before >= 1);
+  for (int step = 0; step < 110; ++step) {
+    harness.time.elapsed += milliseconds(100);
+    const double now = harness.loads.estimatedLoad(harness.backend(1));
+    CHECK(std::abs(now - before) < 0.1);
+    before = now;
+  }
+  CHECK(before == Approx(0.5).margin(0.01));
+}
+
+TEST_CASE("a back end that has just started gets a small and rising share") {
+  PlacementHarness harness(4);
+  const auto share = [&](std::uint32_t uptime_ms) {
+    harness.time.elapsed += seconds(1);
+    for (std::uint32_t id = 1; id <= 4; ++id) {
+      harness.report(id, 1, 0, id == 1 ? uptime_ms : 1000000);
+    }
+    return harness.placeMany(8)[1];
+  };
+  const int at_start = share(100);
+  const int warm = share(20000);
+  CHECK(at_start == 0);
+  CHECK(warm >= 1);
+}
+
+TEST_CASE("a view in which most of a service is unreachable is not believed") {
+  PlacementHarness harness(10);
+  for (std::uint32_t id = 1; id <= 6; ++id) {
+    harness.reportUnreachable(id);
+  }
+  CHECK(harness.placeMany(300).size() == 10);
+  PlacementHarness some(10);
+  for (std::uint32_t id = 1; id <= 5; ++id) {
+    some.reportUnreachable(id);
+  }
+  CHECK(some.placeMany(300).size() == 5);
+}
+
+TEST_CASE("a back end that keeps refusing although its report shows room is ejected") {
+  PlacementHarness harness(10);
+  harness.report(1, 0);
+  for (std::uint64_t attempt = 0; attempt < 5; ++attempt) {
+    harness.engine.onBackendRefusal(harness.backend(1), FlowKey{{0, attempt}, 0},
+                                    Reason::Overloaded);
+  }
+  CHECK(harness.placeMany(100).count(1) == 0);
+  harness.time.elapsed += seconds(7);
+  CHECK(harness.placeMany(100).count(1) == 1);
+}
+
+TEST_CASE("placements stay within the rules whatever is believed") {
+  rc::prop("never outside the allowed zones, never draining, ejections under the cap", [] {
+    const auto count = *rc::gen::inRange<std::uint32_t>(1, 30);
+    PlacementHarness harness(count, *rc::gen::elementOf(placementPolicyNames()));
+    Configuration configuration = harness.view->document();
+    for (Backend& backend : configuration.backends) {
+      backend.zone = *rc::gen::element(kLac, kAriana);
+      backend.draining = *rc::gen::inRange(0, 5) == 0;
+    }
+    harness.setConfiguration(configuration);
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
+    for (const int step : steps) {
+      const auto id = static_cast<std::uint32_t>(step / 10) % count + 1;
+      const Backend& backend = harness.backend(id);
+      switch (step % 5) {
+        case 0:
+          harness.report(id, static_cast<std::uint32_t>(step) % 3);
+          break;
+        case 1:
+          harness.reportUnreachable(id);
+          break;
+        case 2:
+          for (std::uint64_t attempt = 0; attempt < 5; ++attempt) {
+            harness.engine.onBackendRefusal(backend, FlowKey{{id, attempt}, 0},
+                                            Reason::BackendGone);
+          }
+          break;
+        case 3:
+          harness.loads.onDrainingSeen(backend.id);
+          break;
+        default:
+          harness.time.elapsed += milliseconds(step);
+      }
+      const auto chosen = harness.place();
+      if (!chosen) {
+        RC_ASSERT(chosen.error().retry_after > Duration::zero());
+        continue;
+      }
+      RC_ASSERT(chosen.value()->zone == kLac);
+      RC_ASSERT(!harness.loads.isLeaving(*chosen.value()));
+    }
+    std::size_t candidates = 0;
+    std::size_t ejected = 0;
+    for (const Backend& backend : harness.view->document().backends) {
+      candidates += backend.zone == kLac && !backend.draining ? 1 : 0;
+      ejected += harness.engine.isEjected(backend.id) ? 1 : 0;
+    }
+    RC_ASSERT(10 * ejected <= 3 * candidates);
+  });
+}
+
+}  // namespace
+}  // namespace lugfork
