--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,8 +19,8 @@
   local name=$1
   shift
   "$@" >"$logs/$name.out" 2>"$logs/$name.log" &
-  pids+=($!)
   last_pid=$!
+  pids+=("$last_pid")
 }
 
 wait_ready() { # wait_ready API_ADDRESS: until the balancer answers that it places flows
@@ -65,6 +65,7 @@
 through_lac=$(forwards 20032)
 through_ariana=$(forwards 20033)
 kill -KILL "${balancer_pids[0]}"
+wait "${balancer_pids[0]}" 2>/dev/null || true # takes the shell's own report of the kill
 echo "datagrams forwarded so far: charguia $through_charguia, lac $through_lac, ariana $through_ariana; charguia's balancer is dead now"
 status=0
 wait "$streams_pid" || status=1
@@ -73,9 +74,8 @@
 cat "$logs/streams.out"
 echo "== uploads"
 cat "$logs/uploads.out"
-if [ "$through_charguia" -eq 0 ] || [ "$through_lac" -eq 0 ]; then
-  echo "the flows did not go through balancers of two zones" >&2
-  status=1
-fi
+echo "== each back end's record of the balancers that forwarded a flow's datagrams"
+probe_addresses=$(seq -f '127.0.0.1:%.0f' 20201 20219)
+python3 scripts/flow_paths.py $example/machines.json $probe_addresses || status=1
 if [ $status -eq 0 ]; then echo "demo passed: no flow broke"; else echo "demo FAILED" >&2; tail -n 5 "$logs"/*.log >&2; fi
 exit $status
--- a/src/config/toml_settings.cc
+++ b/src/config/toml_settings.cc
@@ -1,6 +1,7 @@
 #include "config/toml_settings.h"
 
 #include <toml++/toml.h>
+
 #include <sstream>
 
 namespace lugfork {
@@ -32,15 +33,31 @@
   return item;
 }
 
+/** @return the long names of all flags that a settings file may give, for error messages. */
+std::string allowedKeys(const CLI::App& app) {
+  std::string keys;
+  for (const CLI::Option* option : app.get_options()) {
+    if (option->get_configurable() && option != app.get_config_ptr() &&
+        !option->get_lnames().empty()) {
+      keys += (keys.empty() ? "" : ", ") + option->get_lnames().front();
+    }
+  }
+  return keys;
+}
+
 /** Reads TOML with toml++ in place of CLI11's own reader, which takes only part of the format. */
 class TomlConfig : public CLI::ConfigTOML {
  public:
+  explicit TomlConfig(const CLI::App& app) : app_(app) {}
+
   std::vector<CLI::ConfigItem> from_config(std::istream& input) const override {
     std::vector<CLI::ConfigItem> entries;
     try {
       const toml::table table = toml::parse(input);
       for (const auto& [key, node] : table) {
-        entries.push_back(toConfigItem(std::string(key.str()), node));
+        const std::string name(key.str());
+        requireKnown(name, key.source().begin.line);
+        entries.push_back(toConfigItem(name, node));
       }
     } catch (const toml::parse_error& error) {
       std::ostringstream text;
@@ -49,13 +66,27 @@
     }
     return entries;
   }
+
+ private:
+  /** CLI11's own error for an unknown key names neither what the key is nor what is allowed. */
+  void requireKnown(const std::string& key, toml::source_index line) const {
+    const CLI::Option* option = app_.get_option_no_throw("--" + key);
+    if (option != nullptr && option->get_configurable() && option != app_.get_config_ptr()) {
+      return;
+    }
+    std::ostringstream text;
+    text << "line " << line << ": unknown key \"" << key << "\"; allowed: " << allowedKeys(app_);
+    throw CLI::ConfigError(text.str());
+  }
+
+  const CLI::App& app_;
 };
 
 }  // namespace
 
 void addSettingsFile(CLI::App& app) {
   app.set_config("--settings", "", "settings file (TOML); each key is a long flag's name");
-  app.config_formatter(std::make_shared<TomlConfig>());
+  app.config_formatter(std::make_shared<TomlConfig>(app));
   app.allow_config_extras(CLI::config_extras_mode::error);
 }
 
@@ -63,7 +94,8 @@
   const CLI::Option* file = app.get_config_ptr();
   std::string text;
   if (file != nullptr && file->count() > 0) {
-    text = "settings file " + file->as<std::string>() + " or flags: ";
+    // Not as<>(): that throws again where the flag itself was given wrongly.
+    text = "settings file " + CLI::detail::join(file->results(), ", ") + " or flags: ";
   }
   return text + error.what();
 }
--- a/src/programs/standin_backend.cc
+++ b/src/programs/standin_backend.cc
@@ -8,6 +8,7 @@
 #include "runtime/program.h"
 #include "runtime/udp_endpoint.h"
 #include "sim/backend_model.h"
+#include "wire/datagram_codec.h"
 
 namespace lugfork {
 
@@ -18,6 +19,62 @@
 constexpr Duration kTickInterval = milliseconds(10);
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+/** Attempts whose path is recorded; later ones are served all the same. */
+constexpr std::size_t kMaxRecordedPaths = 100000;
+
+/** Records which balancers forwarded datagrams of each attempt, as evidence for demos and tests. */
+class FlowPathRecord {
+ public:
+  void onDatagram(std::span<const std::uint8_t> bytes, Endpoint balancer) {
+    const auto outer = decodeDatagram(bytes);
+    const auto* forward = outer ? std::get_if<Forward>(&outer.value()) : nullptr;
+    if (forward == nullptr) {
+      return;
+    }
+    const auto inner = decodeDatagram(forward->datagram);
+    if (!inner) {
+      return;
+    }
+    if (const auto* data = std::get_if<Data>(&inner.value())) {
+      add(data->key, forward->caller, balancer);
+    } else if (const auto* ack = std::get_if<AnswerAck>(&inner.value())) {
+      add(ack->key, forward->caller, balancer);
+    }
+  }
+
+  /** @return an array of {flow, attempt, caller, datagrams by balancer}. */
+  json toJson() const {
+    json entries = json::array();
+    for (const auto& [key, path] : paths_) {
+      json balancers = json::object();
+      for (const auto& [balancer, datagrams] : path.datagrams_by_balancer) {
+        balancers[toString(balancer)] = datagrams;
+      }
+      entries.push_back({{"flow", toString(key.flow)},
+                         {"attempt", key.attempt},
+                         {"caller", toString(path.caller)},
+                         {"balancers", balancers}});
+    }
+    return entries;
+  }
+
+ private:
+  struct Path {
+    Endpoint caller;
+    std::map<Endpoint, std::uint64_t> datagrams_by_balancer;
+  };
+
+  void add(const FlowKey& key, Endpoint caller, Endpoint balancer) {
+    if (paths_.size() >= kMaxRecordedPaths && !paths_.contains(key)) {
+      return;
+    }
+    Path& path = paths_[key];
+    path.caller = caller;
+    ++path.datagrams_by_balancer[balancer];
+  }
+
+  std::map<FlowKey, Path> paths_;
+};
 
 struct BackendProgramSettings {
   BackendModelSettings model;
@@ -33,6 +90,7 @@
   explicit BackendStandin(const BackendProgramSettings& settings)
       : socket_(io_context_, settings.listen,
                 [this](std::span<const std::uint8_t> bytes, Endpoint from) {
+                  paths_.onDatagram(bytes, from);
                   model_.onDatagram(bytes, from);
                 }),
         model_(settings.model, time_source_, socket_),
@@ -50,6 +108,8 @@
       response.body = writeBackendReport(model_.report());
     } else if (request.path == "/runs") {
       response.body = runs().dump();
+    } else if (request.path == "/flows") {
+      response.body = paths_.toJson().dump();
     } else if (request.path == "/control" && request.method == "POST") {
       response.status = control(request.body);
     } else {
@@ -90,6 +150,7 @@
 
   boost::asio::io_context io_context_;
   RealTimeSource time_source_;
+  FlowPathRecord paths_;
   UdpEndpoint socket_;
   BackendModel model_;
   PeriodicTimer timer_;
@@ -106,7 +167,7 @@
       ->required();
   addEndpointOption(*command, "--listen", settings->listen, "UDP address")->required();
   addEndpointOption(*command, "--probe-address", settings->probe_address,
-                    "HTTP address of /load, /runs and /control")
+                    "HTTP address of /load, /runs, /flows and /control")
       ->required();
   command->add_option("--slots", settings->model.slots, "requests worked on at a time")
       ->check(CLI::Range(1, 1000000))
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -101,10 +101,14 @@
 }  // namespace
 
 HttpServer::HttpServer(Endpoint address, Handler handler)
-    : handler_(std::make_unique<CatchAllHandler>(std::move(handler))) {
+    : address_(address), handler_(std::make_unique<CatchAllHandler>(std::move(handler))) {
   const std::vector<std::string> options = {
       "listening_ports", toString(address), "num_threads", "8", "request_timeout_ms", "10000"};
-  server_ = std::make_unique<CivetServer>(options);
+  try {
+    server_ = std::make_unique<CivetServer>(options);
+  } catch (const CivetException& error) {
+    throw std::runtime_error("HTTP server at " + toString(address) + ": " + error.what());
+  }
   server_->addHandler("/", handler_.get());
 }
 
@@ -112,4 +116,9 @@
   server_->close();
 }
 
+Endpoint HttpServer::localAddress() const {
+  const auto port = static_cast<std::uint16_t>(server_->getListeningPorts().at(0));
+  return {address_.address, port};
+}
+
 }  // namespace lugfork
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -36,11 +36,18 @@
  public:
   using Handler = std::function<HttpResponse(const HttpRequest&)>;
 
-  /** @throws CivetException where the address can't be bound. */
+  /**
+   * @param address port 0 takes a free port.
+   * @throws std::runtime_error where the address can't be bound.
+   */
   HttpServer(Endpoint address, Handler handler);
   ~HttpServer();
 
+  /** @return the address that the server listens at. */
+  Endpoint localAddress() const;
+
  private:
+  const Endpoint address_;
   std::unique_ptr<CivetHandler> handler_;
   std::unique_ptr<CivetServer> server_;
 };
--- /dev/null
+++ b/tests/process/fleet.h
@@ -0,0 +1,406 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+
+#include "runtime/http_client.h"
+
+extern char** environ;
+
+/** A small fleet as processes on loopback, for tests: the programs as an operator starts them. */
+namespace lugfork::test {
+
+using nlohmann::json;
+
+/** Longest wait for a state that must come; verdicts never depend on how fast it came. */
+inline constexpr auto kStateLimit = std::chrono::seconds(60);
+inline constexpr auto kPollInterval = std::chrono::milliseconds(50);
+
+/** One started program; killed at the end of the scope if it still runs. */
+class Process {
+ public:
+  Process(const std::vector<std::string>& command, const std::string& output_base)
+      : output_file_(output_base + ".out") {
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    const int flags = O_WRONLY | O_CREAT | O_APPEND;
+    posix_spawn_file_actions_addopen(&actions, 1, output_file_.c_str(), flags | O_TRUNC, 0600);
+    posix_spawn_file_actions_addopen(&actions, 2, (output_base + ".log").c_str(), flags, 0600);
+    std::vector<char*> argv;
+    for (const std::string& argument : command) {
+      argv.push_back(const_cast<char*>(argument.c_str()));
+    }
+    argv.push_back(nullptr);
+    const int status = posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (status != 0) {
+      throw std::runtime_error("can't start " + command[0]);
+    }
+  }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+  ~Process() {
+    if (!waited_) {
+      signal(SIGKILL);
+      signal(SIGCONT);
+      wait();
+    }
+  }
+
+  void signal(int number) const { ::kill(pid_, number); }
+
+  /** Waits for the end. @return the exit code, or 128 plus the number of the signal. */
+  int wait() {
+    if (!waited_) {
+      int status = 0;
+      ::waitpid(pid_, &status, 0);
+      exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+      waited_ = true;
+    }
+    return exit_code_;
+  }
+
+  std::string output() const {
+    std::ifstream file(output_file_);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  }
+
+ private:
+  const std::string output_file_;
+  pid_t pid_ = 0;
+  bool waited_ = false;
+  int exit_code_ = 0;
+};
+
+/**
+ * Holds a block of loopback ports: one listening socket on its first port keeps other runs of these
+ * tests away from the block.
+ */
+class PortBlock {
+ public:
+  static constexpr int kSize = 100;
+
+  PortBlock() {
+    for (int base = 23000; base < 32000; base += kSize) {
+      guard_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      sockaddr_in address{};
+      address.sin_family = AF_INET;
+      address.sin_port = htons(static_cast<std::uint16_t>(base));
+      address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      const bool bound =
+          ::bind(guard_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+      if (bound && ::listen(guard_, 1) == 0) {
+        base_ = base;
+        return;
+      }
+      ::close(guard_);
+    }
+    throw std::runtime_error("no free block of ports");
+  }
+  PortBlock(const PortBlock&) = delete;
+  PortBlock& operator=(const PortBlock&) = delete;
+  ~PortBlock() { ::close(guard_); }
+
+  Endpoint endpoint(int offset) const {
+    return {INADDR_LOOPBACK, static_cast<std::uint16_t>(base_ + offset)};
+  }
+  std::string text(int offset) const { return toString(endpoint(offset)); }
+
+ private:
+  int guard_ = -1;
+  int base_ = 0;
+};
+
+/** How a caller's run ended, as the caller reported it. */
+struct CallerReport {
+  int exit_code = 0;
+  json summary;
+};
+
+/** Platform, fabric, three balancers in three zones, three listen-api and two ingest back ends. */
+class Fleet {
+ public:
+  static constexpr int kBalancers = 3;
+  static constexpr int kBackends = 5;
+  static constexpr int kListenBackends = 3;
+
+  Fleet() {
+    std::string pattern = std::filesystem::temp_directory_path() / "lugfork-process-XXXXXX";
+    directory_ = ::mkdtemp(pattern.data());
+    document_ = makeDocument();
+    writeFile("configuration.json", document_.dump());
+    writeFile("machines.json", makeMachines().dump());
+    start("platform",
+          {program("lugfork-standin"), "platform", "--listen", ports_.text(kPlatform),
+           "--configuration", file("configuration.json"), "--machines", file("machines.json")});
+    waitFor("platform",
+            [this] { return get(ports_.endpoint(kPlatform), "/v1/machines").is_object(); });
+    for (int index = 0; index < kBackends; ++index) {
+      startBackend(index);
+    }
+    for (int index = 0; index < kBalancers; ++index) {
+      startBalancer(index);
+    }
+    for (int index = 0; index < kBalancers; ++index) {
+      waitReady(index);
+    }
+    start("fabric", {program("lugfork-standin"), "fabric", "--listen", ports_.text(kFabric),
+                     "--platform", ports_.text(kPlatform)});
+    waitFor("fabric", [this] {
+      return Process({program("lugforkctl"), "request", "--fabric", ports_.text(kFabric),
+                      "--service", "10.20.0.1:443", "--service-id", "1"},
+                     file("first-request"))
+                 .wait() == 0;
+    });
+  }
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+  ~Fleet() {
+    processes_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(directory_, ignored);
+  }
+
+  Process& balancer(int index) { return *processes_.at("balancer-" + std::to_string(index)); }
+
+  void startBalancer(int index) {
+    std::vector<std::string> command = {program("lugforkd"),
+                                        "--name",
+                                        balancerName(index),
+                                        "--zone",
+                                        zoneName(index),
+                                        "--data-address",
+                                        ports_.text(kData + index),
+                                        "--peer-address",
+                                        ports_.text(kPeer + index),
+                                        "--api-address",
+                                        ports_.text(kApi + index),
+                                        "--platform",
+                                        ports_.text(kPlatform),
+                                        "--platform-interval",
+                                        "200"};
+    start("balancer-" + std::to_string(index), command);
+  }
+
+  void waitReady(int index) {
+    waitFor(balancerName(index) + " ready", [this, index] {
+      return get(ports_.endpoint(kApi + index), "/healthz").value("ready", false);
+    });
+  }
+
+  json status(int index) const { return get(ports_.endpoint(kApi + index), "/v1/status"); }
+  std::uint64_t versionInForce(int index) const {
+    return status(index).value("version_in_force", std::uint64_t{0});
+  }
+
+  /** Sets test switches of the platform, for example {"outage": true}. */
+  void controlPlatform(const json& switches) const {
+    HttpCall call;
+    call.method = "POST";
+    call.server = ports_.endpoint(kPlatform);
+    call.target = "/control";
+    call.body = switches.dump();
+    httpRequest(call).value();
+  }
+
+  /** The declared document; change it and publish(). */
+  json& document() { return document_; }
+
+  /** Publishes the document as the next version and waits until it is in force on all nodes. */
+  int publish() {
+    document_["version"] = document_["version"].get<std::uint64_t>() + 1;
+    writeFile("next.json", document_.dump());
+    std::vector<std::string> command = {
+        program("lugforkctl"),  "apply",  "-f",           file("next.json"), "--platform",
+        ports_.text(kPlatform), "--wait", "--wait-limit", "60000",           "--node"};
+    for (int index = 0; index < kBalancers; ++index) {
+      command.push_back(ports_.text(kApi + index));
+    }
+    return Process(command, file("apply")).wait();
+  }
+
+  /** Runs lugforkctl. @return the exit code; the output stands in controlOutput(). */
+  int control(std::vector<std::string> arguments) {
+    arguments.insert(arguments.begin(), program("lugforkctl"));
+    Process process(arguments, file("control"));
+    const int exit_code = process.wait();
+    control_output_ = process.output();
+    return exit_code;
+  }
+  const std::string& controlOutput() const { return control_output_; }
+
+  /** Starts callers of listen-api (streams) or ingest (uploads). */
+  std::unique_ptr<Process> startStreams(int calls, int pieces) {
+    return startCaller("streams", "10.20.0.1:443", "1",
+                       {"--kind", "stream", "--calls", std::to_string(calls), "--answer-pieces",
+                        std::to_string(pieces), "--answer-interval", "100", "--work", "5"});
+  }
+  std::unique_ptr<Process> startUploads(int calls, int spacing_ms) {
+    return startCaller("uploads", "10.20.0.2:443", "2",
+                       {"--kind", "upload", "--calls", std::to_string(calls), "--spacing",
+                        std::to_string(spacing_ms), "--request-pieces", "50", "--work", "20"});
+  }
+
+  std::unique_ptr<Process> startPreChecks(int calls, int spacing_ms) {
+    return startCaller("prechecks", "10.20.0.1:443", "1",
+                       {"--kind", "precheck", "--calls", std::to_string(calls), "--spacing",
+                        std::to_string(spacing_ms), "--work", "5"});
+  }
+
+  static CallerReport finish(Process& caller) {
+    CallerReport report;
+    report.exit_code = caller.wait();
+    report.summary = json::parse(caller.output(), nullptr, false);
+    return report;
+  }
+
+  /** @return requests that a back end started, as it recorded them. */
+  json runs(int index) const { return get(ports_.endpoint(kProbe + index), "/runs"); }
+
+  /** @return the balancers that forwarded each flow's datagrams, as the back end recorded them. */
+  json flows(int index) const { return get(ports_.endpoint(kProbe + index), "/flows"); }
+
+  /** Waits until a state has come; fails the test with the fleet's logs if it never does. */
+  void waitFor(const std::string& what, const std::function<bool()>& reached) const {
+    const auto limit = std::chrono::steady_clock::now() + kStateLimit;
+    while (!reached()) {
+      if (std::chrono::steady_clock::now() > limit) {
+        throw std::runtime_error("never came: " + what + "\n" + logs());
+      }
+      std::this_thread::sleep_for(kPollInterval);
+    }
+  }
+
+  /** @return the last lines of every process's log. */
+  std::string logs() const {
+    std::string text;
+    for (const auto& entry : std::filesystem::directory_iterator(directory_)) {
+      if (entry.path().extension() != ".log") {
+        continue;
+      }
+      std::ifstream log(entry.path());
+      std::string content{std::istreambuf_iterator<char>(log), std::istreambuf_iterator<char>()};
+      constexpr std::size_t kShown = 1500;
+      text += "--- " + entry.path().filename().string() + "\n" +
+              content.substr(content.size() > kShown ? content.size() - kShown : 0);
+    }
+    return text;
+  }
+
+  const PortBlock& ports() const { return ports_; }
+  static constexpr int kPlatform = 1;
+  static constexpr int kFabric = 2;
+  static constexpr int kData = 10;
+  static constexpr int kPeer = 20;
+  static constexpr int kApi = 30;
+  static constexpr int kBackendData = 40;
+  static constexpr int kProbe = 60;
+
+ private:
+  static std::string zoneName(int index) {
+    static const std::vector<std::string> kNames = {"charguia", "lac", "ariana"};
+    return kNames[static_cast<std::size_t>(index) % kNames.size()];
+  }
+  static std::string balancerName(int index) { return zoneName(index) + "-balancer"; }
+  static std::string program(const std::string& name) {
+    return std::string(LUGFORK_BINARY_DIR) + "/" + name;
+  }
+  std::string file(const std::string& name) const { return directory_ + "/" + name; }
+  void writeFile(const std::string& name, const std::string& text) const {
+    std::ofstream(file(name)) << text;
+  }
+
+  void start(const std::string& name, const std::vector<std::string>& command) {
+    processes_.erase(name);
+    processes_[name] = std::make_unique<Process>(command, file(name));
+  }
+
+  void startBackend(int index) {
+    const std::string id = std::to_string(index + 1);
+    start("backend-" + id,
+          {program("lugfork-standin"), "backend", "--id", id, "--service",
+           index < kListenBackends ? "1" : "2", "--listen", ports_.text(kBackendData + index),
+           "--probe-address", ports_.text(kProbe + index)});
+  }
+
+  std::unique_ptr<Process> startCaller(const std::string& name, const std::string& service,
+                                       const std::string& service_id,
+                                       const std::vector<std::string>& order) const {
+    std::vector<std::string> command = {program("lugfork-standin"),
+                                        "caller",
+                                        "--fabric",
+                                        ports_.text(kFabric),
+                                        "--service",
+                                        service,
+                                        "--service-id",
+                                        service_id};
+    command.insert(command.end(), order.begin(), order.end());
+    return std::make_unique<Process>(command, file(name));
+  }
+
+  /** @return the JSON document at a path, or an empty object where there is none. */
+  static json get(Endpoint server, const std::string& path) {
+    HttpCall call;
+    call.server = server;
+    call.target = path;
+    const auto reply = httpRequest(call);
+    const json body = reply ? json::parse(reply.value().body, nullptr, false) : json();
+    return body.is_structured() ? body : json::object();
+  }
+
+  json makeDocument() const {
+    const std::string source = std::string(LUGFORK_SOURCE_DIR) + "/examples/radio/";
+    std::ifstream example(source + "configuration.json");
+    json document = json::parse(example);
+    json backends = json::array();
+    for (int index = 0; index < kBackends; ++index) {
+      const bool listen = index < kListenBackends;
+      backends.push_back({{"id", index + 1},
+                          {"name", "backend-" + std::to_string(index + 1)},
+                          {"service", listen ? "listen-api" : "ingest"},
+                          {"zone", zoneName(index)},
+                          {"address", ports_.text(kBackendData + index)},
+                          {"probe_address", ports_.text(kProbe + index)},
+                          {"slots", 2},
+                          {"connections", 2000},
+                          {"draining", false}});
+    }
+    document["backends"] = backends;
+    return document;
+  }
+
+  json makeMachines() const {
+    json machines = json::array();
+    for (int index = 0; index < kBalancers; ++index) {
+      machines.push_back({{"name", balancerName(index)},
+                          {"zone", zoneName(index)},
+                          {"state", "live"},
+                          {"data_address", ports_.text(kData + index)},
+                          {"peer_address", ports_.text(kPeer + index)},
+                          {"api_address", ports_.text(kApi + index)}});
+    }
+    return {{"machines", machines}};
+  }
+
+  PortBlock ports_;
+  std::string directory_;
+  json document_;
+  std::string control_output_;
+  std::map<std::string, std::unique_ptr<Process>> processes_;
+};
+
+}  // namespace lugfork::test
--- /dev/null
+++ b/tests/runtime/bad_input_test.cc
@@ -0,0 +1,74 @@
+#include <catch2/catch.hpp>
+#include <numeric>
+
+#include "runtime/node_fixture.h"
+#include "wire/datagram_codec.h"
+
+namespace lugfork {
+namespace {
+
+constexpr Endpoint kFabric{0x7f000001, 20001};
+constexpr Endpoint kCaller{0x7f000001, 40000};
+
+std::uint64_t codecDrops(const Node& node) {
+  const auto& drops = node.flowCounters().drops_by_codec_error;
+  return std::accumulate(drops.begin(), drops.end(), std::uint64_t{0});
+}
+
+TEST_CASE("a datagram that is not one of ours is counted, dropped and answered by nothing") {
+  struct Row {
+    const char* name;
+    Bytes bytes;
+  };
+  Bytes truncated = encodeDatagram(Sprayed{kCaller, Bytes(100, 1)});
+  truncated.resize(truncated.size() / 2);
+  Bytes trailing = encodeDatagram(Open{kFabric, {}});
+  trailing.push_back(0);
+  const Row rows[] = {
+      {"empty", {}},
+      {"random bytes", {0xde, 0xad, 0xbe, 0xef}},
+      {"truncated", truncated},
+      {"trailing byte", trailing},
+      {"oversized", Bytes(kMaxDatagramBytes + 1, 0x90)},
+      {"largest UDP payload", Bytes(65507, 0xff)},
+      {"malformed inside the fabric's envelope", encodeDatagram(Sprayed{kCaller, Bytes(9, 0xc1)})},
+  };
+  NodeFixture fixture;
+  fixture.node.onPlatformConfiguration(radioDocument().dump());
+  std::uint64_t expected_drops = 0;
+  for (const Row& row : rows) {
+    INFO(row.name);
+    fixture.node.onDatagram(row.bytes, kFabric);
+    CHECK(codecDrops(fixture.node) == ++expected_drops);
+    CHECK(fixture.outputs.datagrams.empty());
+  }
+  CHECK(fixture.node.configuration().version() == ConfigVersion(1));
+}
+
+TEST_CASE("an invalid or older document from the platform or a peer changes nothing in force") {
+  struct Row {
+    const char* name;
+    std::string document;
+  };
+  nlohmann::json older = radioDocument();
+  older["version"] = 4;
+  nlohmann::json invalid = radioDocument();
+  invalid["version"] = 9;
+  invalid["backends"][0]["zone"] = "nowhere";
+  const Row rows[] = {
+      {"older", older.dump()}, {"invalid", invalid.dump()}, {"not JSON", "{"}, {"empty", ""}};
+  NodeFixture fixture;
+  nlohmann::json in_force = radioDocument();
+  in_force["version"] = 5;
+  fixture.node.onPlatformConfiguration(in_force.dump());
+  const std::string document = fixture.node.configuration().documentInForce();
+  for (const Row& row : rows) {
+    INFO(row.name);
+    fixture.node.onPlatformConfiguration(row.document);
+    fixture.node.onPeerMessage(kFabric, ConfigurationReply{NodeId(7), row.document});
+    CHECK(fixture.node.configuration().documentInForce() == document);
+  }
+}
+
+}  // namespace
+}  // namespace lugfork
