Add the /v1 resource API, operators' commands, peer keys, API token and more metrics

Change: - /v1/zones, services, backends, nodes, each as metadata, spec and status with conditions (reason and time); by name; long poll by version; ETag and If-None-Match; problem documents; /v1/schema. A bearer token on the API; /healthz stays open. - HTTPS as a setting that fails closed. It does not work with Debian 12's CivetWeb 1.15: it loads libssl at run time and looks for SSL_get_peer_certificate, which OpenSSL 3 no longer has (seen with LD_DEBUG=files). The server then refuses to start and says so, rather than serve plain HTTP. - Logs carry an RFC 3339 time; levels of single components from settings. Metrics: view age, members by state, refused peers, conflicts.

Red first: refused peers were not let in but not counted either. Ruled out: events not emitted, wrong event mask. Cause: a new ZeroMQ pipe does not signal its descriptor until the reader has once found it empty; the reader now reads once at the start. The bad-input test's old peer message had gone with the new configuration spread; it is replaced by five deltas that do not hold together.

--- a/src/balancer/node.cc
+++ b/src/balancer/node.cc
@@ -128,8 +128,12 @@
 }
 
 ClusterStatus Node::clusterStatus() const {
-  return {join_.state(), lease_.state(), membership_.liveCount(), membership_.members().size(),
-          configuration_.conflicts()};
+  return {join_.state(),
+          lease_.state(),
+          membership_.liveCount(),
+          membership_.members().size(),
+          configuration_.conflicts(),
+          lease_.age()};
 }
 
 void Node::onNewerConfigurationSeen(ConfigVersion version) {
--- a/src/balancer/node.h
+++ b/src/balancer/node.h
@@ -66,6 +66,8 @@
   std::size_t live_members = 0;
   std::size_t known_members = 0;
   std::uint64_t configuration_conflicts = 0;
+  /** Time since the request whose answer last confirmed the view. */
+  Duration view_age{};
 
   /** @return true if the node places on a view that nothing confirmed in time. */
   bool degraded() const { return join == JoinState::Degraded || view == ViewState::Degraded; }
--- a/src/cluster/view_lease.h
+++ b/src/cluster/view_lease.h
@@ -42,6 +42,9 @@
 
   ViewState state() const;
 
+  /** @return time since the request whose answer last confirmed the view. */
+  Duration age() const { return time_source_.monotonicTime() - confirmed_at_; }
+
   /** @return true once half of the lease has passed without a confirmation. */
   bool needsConfirmation() const;
 
--- a/src/config/configuration_document.cc
+++ b/src/config/configuration_document.cc
@@ -15,52 +15,6 @@
 
 namespace lugfork {
 
-const char* const kConfigurationSchema = R"({
-  "$schema": "http://json-schema.org/draft-07/schema#",
-  "type": "object",
-  "required": ["version", "system", "zones", "services", "backends", "keys"],
-  "additionalProperties": false,
-  "properties": {
-    "version": { "type": "integer", "minimum": 1 },
-    "system": { "type": "string", "minLength": 1 },
-    "zones": { "type": "array", "minItems": 1, "items": {
-      "type": "object", "required": ["id", "name", "region"], "additionalProperties": false,
-      "properties": {
-        "id": { "type": "integer", "minimum": 1, "maximum": 65535 },
-        "name": { "type": "string", "minLength": 1 },
-        "region": { "type": "string", "minLength": 1 } } } },
-    "services": { "type": "array", "items": {
-      "type": "object", "required": ["id", "name", "address", "allowed_zones"],
-      "additionalProperties": false,
-      "properties": {
-        "id": { "type": "integer", "minimum": 1, "maximum": 4294967295 },
-        "name": { "type": "string", "minLength": 1 },
-        "address": { "type": "string" },
-        "allowed_zones": { "type": "array", "minItems": 1, "items": { "type": "string" } } } } },
-    "backends": { "type": "array", "items": {
-      "type": "object",
-      "required": ["id", "name", "service", "zone", "address", "probe_address", "slots",
-                   "connections"],
-      "additionalProperties": false,
-      "properties": {
-        "id": { "type": "integer", "minimum": 1, "maximum": 4294967295 },
-        "name": { "type": "string", "minLength": 1 },
-        "service": { "type": "string" },
-        "zone": { "type": "string" },
-        "address": { "type": "string" },
-        "probe_address": { "type": "string" },
-        "slots": { "type": "integer", "minimum": 1, "maximum": 1000000 },
-        "connections": { "type": "integer", "minimum": 1, "maximum": 10000000 },
-        "draining": { "type": "boolean" } } } },
-    "keys": { "type": "array", "minItems": 1, "items": {
-      "type": "object", "required": ["id", "secret", "seals"], "additionalProperties": false,
-      "properties": {
-        "id": { "type": "integer", "minimum": 1, "maximum": 65535 },
-        "secret": { "type": "string" },
-        "seals": { "type": "boolean" } } } }
-  }
-})";
-
 namespace {
 
 using nlohmann::json;
--- a/src/config/configuration_document.h
+++ b/src/config/configuration_document.h
@@ -19,7 +19,10 @@
 
 using DocumentProblems = std::vector<DocumentProblem>;
 
-/** JSON Schema (draft 7) that every document must match before the rules between resources. */
+/**
+ * JSON Schema (draft 7) that every document must match before the rules between resources. The
+ * build embeds schema/configuration.schema.json.
+ */
 extern const char* const kConfigurationSchema;
 
 /**
--- a/src/programs/ctl_commands.h
+++ b/src/programs/ctl_commands.h
@@ -8,12 +8,18 @@
 
 using CommandBody = std::function<int()>;
 
-/** apply and validate: declare a configuration. */
+/** Flag for the bearer token of the nodes' API, also taken from LUGFORK_API_TOKEN. */
+void addTokenOption(CLI::App& command, std::string& token);
+
+/** apply, drain and validate: declare a configuration. */
 void addDeclareCommands(CLI::App& app, CommandBody& run);
 
 /** get, status and watch: read what is in force. */
 void addReadCommands(CLI::App& app, CommandBody& run);
 
+/** generate-key: fresh keys for settings and documents. */
+void addKeyCommands(CLI::App& app, CommandBody& run);
+
 /** request: make one call as a caller. */
 void addRequestCommand(CLI::App& app, CommandBody& run);
 
--- a/src/programs/lugforkd.cc
+++ b/src/programs/lugforkd.cc
@@ -1,5 +1,7 @@
 /** lugforkd: the balancer daemon. */
 
+#include <iostream>
+
 #include "config/toml_settings.h"
 #include "runtime/json_event_log.h"
 #include "runtime/node_daemon.h"
@@ -42,6 +44,42 @@
                         milliseconds(3600000), "longest time of relaying before a planned stop");
 }
 
+void addSecurityOptions(CLI::App& app, NodeDaemonSettings& settings) {
+  PeerSecuritySettings& peers = settings.peer_security;
+  app.add_option("--peer-public-key", peers.public_key, "fleet's CURVE public key (Z85)");
+  app.add_option("--peer-secret-key", peers.secret_key,
+                 "fleet's CURVE secret key (Z85); give it in the settings file");
+  app.add_option("--peer-allowed-key", peers.allowed_keys,
+                 "further public keys that may connect (Z85)");
+  app.add_option("--api-certificate", settings.api_security.certificate_file,
+                 "certificate and key (PEM file) for HTTPS")
+      ->check(CLI::ExistingFile);
+  app.add_option("--api-token", settings.api_security.bearer_token,
+                 "bearer token of the API; give it in the settings file");
+}
+
+/** Checks "component=level". */
+std::string checkComponentLevel(const std::string& text) {
+  const std::string level = text.substr(text.find('=') + 1);
+  const bool known = level == "debug" || level == "info" || level == "warn" || level == "error";
+  const bool valid = text.find('=') != std::string::npos && text.front() != '=' && known;
+  return valid ? "" : "must be component=debug|info|warn|error, got \"" + text + "\"";
+}
+
+void addComponentLevelOption(CLI::App& app, LogSettings& log) {
+  const auto assign = [&log](const std::vector<std::string>& texts) {
+    log.component_levels.clear();
+    for (const std::string& text : texts) {
+      const auto equals = text.find('=');
+      log.component_levels[text.substr(0, equals)] = text.substr(equals + 1);
+    }
+  };
+  app.add_option_function<std::vector<std::string>>("--log-component-level", assign,
+                                                    "levels of single components")
+      ->check(CLI::Validator(checkComponentLevel, "COMPONENT=LEVEL"))
+      ->delimiter(',');
+}
+
 void addLogOptions(CLI::App& app, LogSettings& log) {
   const std::vector<std::string> levels = {"debug", "info", "warn", "error"};
   app.add_option("--log-level", log.level, "lowest level that is logged")
@@ -56,9 +94,16 @@
   LogSettings log_settings;
   addNodeOptions(app, settings);
   addTunables(app, settings);
+  addSecurityOptions(app, settings);
   addLogOptions(app, log_settings);
+  addComponentLevelOption(app, log_settings);
   addSettingsFile(app);
   return runProgram(app, argc, argv, [&] {
+    const std::string problem = checkPeerSecurity(settings.peer_security);
+    if (!problem.empty()) {
+      std::cerr << "lugforkd: " << problem << "\nSee --help.\n";
+      return kExitUsage;
+    }
     log_settings.program = "lugforkd";
     log_settings.node = settings.node.name;
     log_settings.zone = settings.node.zone;
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -24,6 +24,9 @@
   std::ostringstream text;
   text << call.method << ' ' << call.target << " HTTP/1.1\r\nHost: " << toString(call.server)
        << "\r\nConnection: close\r\nContent-Length: " << call.body.size() << "\r\n";
+  if (!call.bearer_token.empty()) {
+    text << "Authorization: Bearer " << call.bearer_token << "\r\n";
+  }
   for (const auto& [name, value] : call.headers) {
     text << name << ": " << value << "\r\n";
   }
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -29,6 +29,8 @@
   std::string target;
   std::map<std::string, std::string> headers;
   std::string body;
+  /** Sent as "Authorization: Bearer ..." unless empty. */
+  std::string bearer_token;
   Duration timeout = seconds(2);
 };
 
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -1,6 +1,7 @@
 #include "runtime/http_server.h"
 
 #include <CivetServer.h>
+#include <sodium.h>
 
 #include <algorithm>
 #include <cctype>
@@ -12,6 +13,8 @@
 
 constexpr std::size_t kMaxBodyBytes = 16UL * 1024 * 1024;
 constexpr std::size_t kReadChunkBytes = 16UL * 1024;
+constexpr const char* kThreads = "16";
+constexpr int kUnauthorized = 401;
 
 std::string lowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
@@ -80,9 +83,25 @@
   mg_write(connection, bytes.data(), bytes.size());
 }
 
+/** @return true if both texts are the same; takes as long for any two of the same length. */
+bool sameSecret(const std::string& left, const std::string& right) {
+  return left.size() == right.size() && sodium_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+HttpResponse unauthorized() {
+  HttpResponse response;
+  response.status = kUnauthorized;
+  response.content_type = "application/problem+json";
+  response.headers["WWW-Authenticate"] = "Bearer";
+  response.body =
+      "{\"type\":\"about:blank\",\"title\":\"a bearer token is needed\",\"status\":401}\n";
+  return response;
+}
+
 class CatchAllHandler : public CivetHandler {
  public:
-  explicit CatchAllHandler(HttpServer::Handler handler) : handler_(std::move(handler)) {}
+  CatchAllHandler(HttpServer::Handler handler, HttpServerSecurity security)
+      : handler_(std::move(handler)), security_(std::move(security)) {}
 
   bool handleGet(CivetServer*, mg_connection* connection) override { return handle(connection); }
   bool handlePost(CivetServer*, mg_connection* connection) override { return handle(connection); }
@@ -91,19 +110,45 @@
 
  private:
   bool handle(mg_connection* connection) {
-    writeResponse(connection, handler_(readRequest(connection)));
+    const HttpRequest request = readRequest(connection);
+    writeResponse(connection, isAuthorized(request) ? handler_(request) : unauthorized());
     return true;
   }
 
+  bool isAuthorized(const HttpRequest& request) const {
+    if (security_.bearer_token.empty() || security_.open_paths.contains(request.path)) {
+      return true;
+    }
+    const auto header = request.headers.find("authorization");
+    return header != request.headers.end() &&
+           sameSecret(header->second, "Bearer " + security_.bearer_token);
+  }
+
   HttpServer::Handler handler_;
+  const HttpServerSecurity security_;
 };
 
+/** @throws std::runtime_error where CivetWeb can't use the machine's OpenSSL. */
+void requireTls() {
+  if ((mg_init_library(MG_FEATURES_SSL) & MG_FEATURES_SSL) == 0) {
+    throw std::runtime_error("HTTPS can't be had: CivetWeb can't use this machine's OpenSSL");
+  }
+}
+
 }  // namespace
 
-HttpServer::HttpServer(Endpoint address, Handler handler)
-    : address_(address), handler_(std::make_unique<CatchAllHandler>(std::move(handler))) {
-  const std::vector<std::string> options = {
-      "listening_ports", toString(address), "num_threads", "8", "request_timeout_ms", "10000"};
+HttpServer::HttpServer(Endpoint address, Handler handler, HttpServerSecurity security)
+    : address_(address) {
+  const bool encrypted = !security.certificate_file.empty();
+  std::vector<std::string> options = {
+      "listening_ports",    toString(address) + (encrypted ? "s" : ""),
+      "num_threads",        kThreads,
+      "request_timeout_ms", "10000"};
+  if (encrypted) {
+    requireTls();
+    options.insert(options.end(), {"ssl_certificate", security.certificate_file});
+  }
+  handler_ = std::make_unique<CatchAllHandler>(std::move(handler), std::move(security));
   try {
     server_ = std::make_unique<CivetServer>(options);
   } catch (const CivetException& error) {
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "common/ids.h"
@@ -31,6 +32,16 @@
   std::string body;
 };
 
+/** What the server asks of its clients. */
+struct HttpServerSecurity {
+  /** Certificate and private key (PEM) for HTTPS; empty for plain HTTP. */
+  std::string certificate_file;
+  /** Clients must send "Authorization: Bearer TOKEN"; empty lets everybody in. */
+  std::string bearer_token;
+  /** Paths that need no token, for health checks of the fabric. */
+  std::set<std::string> open_paths;
+};
+
 /** HTTP server (CivetWeb) with one handler for all paths, called on the server's own threads. */
 class HttpServer {
  public:
@@ -38,9 +49,10 @@
 
   /**
    * @param address port 0 takes a free port.
+   * @param security never eased: where HTTPS can't be had the server does not start.
    * @throws std::runtime_error where the address can't be bound.
    */
-  HttpServer(Endpoint address, Handler handler);
+  HttpServer(Endpoint address, Handler handler, HttpServerSecurity security = {});
   ~HttpServer();
 
   /** @return the address that the server listens at. */
--- a/src/runtime/json_event_log.cc
+++ b/src/runtime/json_event_log.cc
@@ -6,7 +6,9 @@
 #include <log4cxx/patternlayout.h>
 
 #include <chrono>
+#include <iomanip>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace lugfork {
 
@@ -44,9 +46,18 @@
   return log4cxx::Logger::getLogger("lugfork." + std::string(component));
 }
 
-std::int64_t unixMilliseconds() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+/** @return the wall-clock time in UTC as RFC 3339 writes it, to the millisecond. */
+std::string timestamp() {
+  const auto now = std::chrono::system_clock::now();
+  const auto since_epoch =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  const std::time_t whole_seconds = std::chrono::system_clock::to_time_t(now);
+  std::tm parts{};
+  gmtime_r(&whole_seconds, &parts);
+  std::ostringstream text;
+  text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%S") << '.' << std::setw(3) << std::setfill('0')
+       << since_epoch % 1000 << 'Z';
+  return text.str();
 }
 
 }  // namespace
@@ -72,7 +83,7 @@
     return;
   }
   nlohmann::ordered_json line;
-  line["time_ms"] = unixMilliseconds();
+  line["time"] = timestamp();
   line["level"] = levelName(level);
   line["program"] = settings_.program;
   line["component"] = component;
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -5,6 +5,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <map>
+
 namespace lugfork {
 
 namespace {
@@ -58,12 +60,36 @@
              peers.messages_dropped);
 }
 
+void addCluster(prometheus::Registry& registry, const Node& node) {
+  const ClusterStatus cluster = node.clusterStatus();
+  addGauge(registry, "lugfork_degraded", "1 while the node places on an unconfirmed view.",
+           cluster.degraded() ? 1 : 0);
+  addGauge(registry, "lugfork_view_age_seconds", "Time since the view was last confirmed.",
+           std::chrono::duration<double>(cluster.view_age).count());
+  addCounter(registry, "lugfork_configuration_conflicts_total",
+             "Documents of one version with different content.", cluster.configuration_conflicts);
+  std::map<std::string, int> members_by_state;
+  for (const MemberRecord& member : node.membership().members()) {
+    ++members_by_state[toString(member.state)];
+  }
+  auto& family = prometheus::BuildGauge()
+                     .Name("lugfork_members")
+                     .Help("Known balancers besides this one, by state.")
+                     .Register(registry);
+  for (const auto& [state, count] : members_by_state) {
+    family.Add({{"state", state}}).Set(count);
+  }
+}
+
 }  // namespace
 
-std::string renderMetrics(const Node& node, const PeerTransportCounters& peers) {
+std::string renderMetrics(const Node& node, const PeerTransport& peers) {
   prometheus::Registry registry;
   addFlowCounters(registry, node.flowCounters());
-  addPeerCounters(registry, peers);
+  addPeerCounters(registry, peers.counters());
+  addCounter(registry, "lugfork_peers_refused_total", "Peer connections refused by their keys.",
+             peers.refusedPeers());
+  addCluster(registry, node);
   addGauge(registry, "lugfork_configuration_version", "Version in force.",
            static_cast<double>(node.configuration().version().value()));
   return prometheus::TextSerializer().Serialize(registry.Collect());
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -8,6 +8,6 @@
 namespace lugfork {
 
 /** @return the node's counters in the Prometheus text format. */
-std::string renderMetrics(const Node& node, const PeerTransportCounters& peers);
+std::string renderMetrics(const Node& node, const PeerTransport& peers);
 
 }  // namespace lugfork
--- a/src/runtime/node_daemon.cc
+++ b/src/runtime/node_daemon.cc
@@ -2,7 +2,9 @@
 
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <thread>
 
+#include "runtime/api_response.h"
 #include "runtime/backend_probe.h"
 #include "runtime/http_client.h"
 #include "runtime/metrics.h"
@@ -14,7 +16,10 @@
 
 constexpr Duration kTickInterval = milliseconds(20);
 constexpr std::size_t kWorkerThreads = 8;
-constexpr int kOk = 200;
+constexpr Duration kHousekeepingInterval = seconds(5);
+constexpr Duration kWatchPollInterval = milliseconds(50);
+/** Watches at a time; the other threads of the HTTP server stay free for plain reads. */
+constexpr int kMaxWatches = 8;
 constexpr const char* kConfigurationPath = "/v1/configuration";
 constexpr const char* kMachinesPath = "/v1/machines";
 
@@ -26,14 +31,16 @@
       random_(makeSeededRandom(entropySeed())),
       workers_(kWorkerThreads),
       node_(settings_.node, time_source_, *random_, *this, log),
-      api_(node_),
+      peer_statuses_(time_source_),
+      api_(node_, peer_statuses_, time_source_),
       data_(io_context_, settings_.data_address,
             [this](std::span<const std::uint8_t> bytes, Endpoint from) {
               last_datagram_at_ = time_source_.monotonicTime();
               node_.onDatagram(bytes, from);
             }),
-      peers_(io_context_, settings_.node.peer_address,
+      peers_(io_context_, settings_.node.peer_address, settings_.peer_security,
              [this](Endpoint from, const PeerMessage& message) {
+               peer_statuses_.onMessage(message);
                node_.onPeerMessage(from, message);
              }),
       tick_(io_context_, kTickInterval,
@@ -41,6 +48,11 @@
               node_.onTick();
               stopWhenQuiet();
             }),
+      housekeeping_(io_context_, kHousekeepingInterval,
+                    [this] {
+                      api_.observeConditions();
+                      reportRefusedPeers();
+                    }),
       signals_(io_context_, SIGTERM, SIGINT) {
   signals_.async_wait([this](const boost::system::error_code& error, int) {
     if (!error) {
@@ -48,7 +60,8 @@
     }
   });
   http_ = std::make_unique<HttpServer>(
-      settings_.api_address, [this](const HttpRequest& request) { return onHttpRequest(request); });
+      settings_.api_address, [this](const HttpRequest& request) { return onHttpRequest(request); },
+      apiSecurity());
 }
 
 NodeDaemon::~NodeDaemon() = default;
@@ -60,6 +73,7 @@
               {"api_address", toString(settings_.api_address)},
               {"version", LUGFORK_VERSION}});
   io_context_.run();
+  stopping_ = true;
   workers_.join();
   // Requests that wait for the event loop are answered before the server closes.
   io_context_.restart();
@@ -90,6 +104,7 @@
     const auto machines = parseMachineList(body);
     if (machines) {
       node_.onPlatformMachines(machines.value());
+      api_.setMachines(machines.value());
     } else {
       log_.write(LogLevel::Error, "platform", "machine_list_invalid",
                  {{"problem", machines.error()}});
@@ -124,7 +139,7 @@
     const auto reply = httpRequest(call);
     boost::asio::post(io_context_, [this, call, reply, callback] {
       reads_in_progress_.erase(call.target);
-      if (reply && reply.value().status == kOk) {
+      if (reply && reply.value().status == kHttpOk) {
         callback(reply.value().body);
         return;
       }
@@ -154,16 +169,67 @@
   }
 }
 
+void NodeDaemon::reportRefusedPeers() {
+  const std::uint64_t refused = peers_.refusedPeers();
+  if (refused != reported_refused_peers_) {
+    log_.write(LogLevel::Warn, "peers", "peers_refused",
+               {{"connections", refused - reported_refused_peers_}, {"total", refused}});
+    reported_refused_peers_ = refused;
+  }
+}
+
+HttpServerSecurity NodeDaemon::apiSecurity() const {
+  HttpServerSecurity security = settings_.api_security;
+  security.open_paths = {"/healthz"};
+  return security;
+}
+
 HttpResponse NodeDaemon::onHttpRequest(const HttpRequest& request) {
-  return callOnLoop(io_context_, [this, &request] {
-    if (request.path == "/metrics") {
-      HttpResponse response;
-      response.content_type = "text/plain; version=0.0.4";
-      response.body = renderMetrics(node_, peers_.counters());
-      return response;
+  const WatchParameters parameters = parseWatch(request);
+  if (!parameters.problem.empty()) {
+    return problemResponse(kHttpBadRequest, parameters.problem);
+  }
+  if (parameters.watch) {
+    const bool may_wait = ++watches_ <= kMaxWatches;
+    const bool reached = may_wait && waitForVersionAbove(*parameters.watch);
+    --watches_;
+    if (!may_wait) {
+      return problemResponse(kHttpUnavailable, "too many watches");
+    }
+    if (!reached) {
+      HttpResponse unchanged;
+      unchanged.status = kHttpNotModified;
+      return unchanged;
     }
+  }
+  return callOnLoop(io_context_, [this, &request] { return answer(request); });
+}
+
+HttpResponse NodeDaemon::answer(const HttpRequest& request) {
+  if (request.path != "/metrics") {
     return api_.handle(request);
-  });
+  }
+  HttpResponse response;
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = renderMetrics(node_, peers_);
+  return response;
+}
+
+bool NodeDaemon::waitForVersionAbove(const WatchRequest& watch) {
+  const MonotonicTime limit = time_source_.monotonicTime() + watch.timeout;
+  const auto reached = [&] {
+    return callOnLoop(io_context_, [&] { return node_.configuration().version() > watch.from; });
+  };
+  while (!stopping_) {
+    if (reached()) {
+      return true;
+    }
+    if (time_source_.monotonicTime() >= limit) {
+      return false;
+    }
+    std::this_thread::sleep_for(kWatchPollInterval);
+  }
+  return false;
 }
 
 }  // namespace lugfork
--- a/src/runtime/node_daemon.h
+++ b/src/runtime/node_daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/thread_pool.hpp>
@@ -21,6 +22,8 @@
   Endpoint data_address;
   Endpoint api_address;
   std::vector<Endpoint> platform_addresses;
+  PeerSecuritySettings peer_security;
+  HttpServerSecurity api_security;
   Duration platform_timeout = seconds(2);
   Duration probe_timeout = milliseconds(500);
   /** After a planned stop begins the node relays at least this long. */
@@ -51,7 +54,14 @@
   void readPlatform(const std::string& path, std::function<void(const std::string&)> callback);
   void onStopSignal();
   void stopWhenQuiet();
+  /** Called on the HTTP server's threads. */
   HttpResponse onHttpRequest(const HttpRequest& request);
+  HttpResponse answer(const HttpRequest& request);
+
+  /** Blocks until the version is in force, the time is over or the daemon stops. */
+  bool waitForVersionAbove(const WatchRequest& watch);
+  void reportRefusedPeers();
+  HttpServerSecurity apiSecurity() const;
 
   const NodeDaemonSettings settings_;
   EventLog& log_;
@@ -60,15 +70,20 @@
   boost::asio::io_context io_context_;
   boost::asio::thread_pool workers_;
   Node node_;
+  PeerStatusTable peer_statuses_;
   ResourceApi api_;
   UdpEndpoint data_;
   PeerTransport peers_;
   PeriodicTimer tick_;
+  PeriodicTimer housekeeping_;
   boost::asio::signal_set signals_;
   std::unique_ptr<HttpServer> http_;
   std::set<std::string> reads_in_progress_;
   std::set<BackendId> probes_in_progress_;
   std::size_t next_platform_ = 0;
+  std::uint64_t reported_refused_peers_ = 0;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<int> watches_ = 0;
   MonotonicTime last_datagram_at_;
   MonotonicTime leaving_since_;
 };
--- /dev/null
+++ b/src/runtime/peer_gate.cc
@@ -0,0 +1,104 @@
+#include "runtime/peer_gate.h"
+
+#include <array>
+#include <cstring>
+
+namespace lugfork {
+
+namespace {
+
+constexpr const char* kAuthenticatorAddress = "inproc://zeromq.zap.01";
+constexpr const char* kMonitorAddress = "inproc://lugfork.peer-monitor";
+constexpr const char* kProtocolVersion = "1.0";
+constexpr std::size_t kKeyBytes = 32;
+constexpr int kRefusalEvents = ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
+                               ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL |
+                               ZMQ_EVENT_HANDSHAKE_FAILED_AUTH;
+
+/** Positions of the frames of an authentication request (ZAP). */
+enum RequestFrame : std::size_t {
+  kVersion,
+  kRequestId,
+  kDomain,
+  kAddress,
+  kIdentity,
+  kMechanism,
+  kKey
+};
+
+std::string binaryKey(const std::string& text) {
+  std::string key(kKeyBytes, '\0');
+  zmq_z85_decode(reinterpret_cast<std::uint8_t*>(key.data()), text.c_str());
+  return key;
+}
+
+zmq::socket_t secure(zmq::context_t& context, zmq::socket_t& listener,
+                     const PeerSecuritySettings& settings) {
+  zmq::socket_t authenticator(context, zmq::socket_type::rep);
+  authenticator.set(zmq::sockopt::linger, 0);
+  authenticator.bind(kAuthenticatorAddress);
+  listener.set(zmq::sockopt::curve_server, true);
+  listener.set(zmq::sockopt::curve_secretkey, settings.secret_key);
+  return authenticator;
+}
+
+zmq::socket_t monitor(zmq::context_t& context, zmq::socket_t& listener) {
+  if (zmq_socket_monitor(listener.handle(), kMonitorAddress, kRefusalEvents) != 0) {
+    throw zmq::error_t();
+  }
+  zmq::socket_t events(context, zmq::socket_type::pair);
+  events.set(zmq::sockopt::linger, 0);
+  events.connect(kMonitorAddress);
+  return events;
+}
+
+void sendText(zmq::socket_t& socket, std::string_view text, zmq::send_flags flags) {
+  zmq::message_t frame(text.data(), text.size());
+  static_cast<void>(socket.send(frame, flags));
+}
+
+}  // namespace
+
+PeerGate::PeerGate(boost::asio::io_context& io_context, zmq::context_t& context,
+                   zmq::socket_t& listener, const PeerSecuritySettings& settings)
+    : authenticator_(secure(context, listener, settings)),
+      monitor_(monitor(context, listener)),
+      authenticator_reader_(
+          io_context, authenticator_,
+          [this](const ZmqReader::Frames& request) { onAuthenticationRequest(request); }),
+      monitor_reader_(io_context, monitor_,
+                      [this](const ZmqReader::Frames& event) { onMonitorEvent(event); }) {
+  allowed_.insert(binaryKey(settings.public_key));
+  for (const std::string& key : settings.allowed_keys) {
+    allowed_.insert(binaryKey(key));
+  }
+}
+
+void PeerGate::secureSender(zmq::socket_t& sender, const PeerSecuritySettings& settings) {
+  sender.set(zmq::sockopt::curve_serverkey, settings.public_key);
+  sender.set(zmq::sockopt::curve_publickey, settings.public_key);
+  sender.set(zmq::sockopt::curve_secretkey, settings.secret_key);
+}
+
+void PeerGate::onAuthenticationRequest(const ZmqReader::Frames& request) {
+  const bool allowed = request.size() > kKey && request[kMechanism].to_string_view() == "CURVE" &&
+                       allowed_.contains(request[kKey].to_string());
+  const std::string_view id =
+      request.size() > kRequestId ? request[kRequestId].to_string_view() : std::string_view();
+  const std::array<std::string_view, 5> reply_head = {kProtocolVersion, id, allowed ? "200" : "400",
+                                                      allowed ? "OK" : "key not allowed", ""};
+  for (const std::string_view part : reply_head) {
+    sendText(authenticator_, part, zmq::send_flags::sndmore);
+  }
+  sendText(authenticator_, "", zmq::send_flags::none);
+}
+
+void PeerGate::onMonitorEvent(const ZmqReader::Frames& event) {
+  std::uint16_t type = 0;
+  if (event.front().size() >= sizeof(type)) {
+    std::memcpy(&type, event.front().data(), sizeof(type));
+  }
+  refused_ += (type & kRefusalEvents) != 0 ? 1 : 0;
+}
+
+}  // namespace lugfork
--- a/src/runtime/peer_transport.cc
+++ b/src/runtime/peer_transport.cc
@@ -16,22 +16,29 @@
 
 }  // namespace
 
-PeerTransport::PeerTransport(boost::asio::io_context& io_context, Endpoint address, Handler handler)
+PeerTransport::PeerTransport(boost::asio::io_context& io_context, Endpoint address,
+                             PeerSecuritySettings security, Handler handler)
     : address_(address),
+      security_(std::move(security)),
       handler_(std::move(handler)),
-      receiver_(context_, zmq::socket_type::router),
-      receiver_descriptor_(io_context) {
+      receiver_(context_, zmq::socket_type::router) {
+  const std::string problem = checkPeerSecurity(security_);
+  if (!problem.empty()) {
+    throw std::runtime_error(problem);
+  }
   receiver_.set(zmq::sockopt::linger, 0);
   receiver_.set(zmq::sockopt::router_handover, true);
   receiver_.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(kMaxPeerMessageBytes));
-  receiver_.bind(zmqAddress(address));
-  receiver_descriptor_.assign(receiver_.get(zmq::sockopt::fd));
-  waitForFrames();
-}
-
-PeerTransport::~PeerTransport() {
-  // ZeroMQ owns the descriptor.
-  receiver_descriptor_.release();
+  if (security_.enabled()) {
+    gate_ = std::make_unique<PeerGate>(io_context, context_, receiver_, security_);
+  }
+  try {
+    receiver_.bind(zmqAddress(address));
+  } catch (const zmq::error_t& error) {
+    throw std::runtime_error("peer address " + toString(address) + ": " + error.what());
+  }
+  reader_ = std::make_unique<ZmqReader>(
+      io_context, receiver_, [this](const ZmqReader::Frames& frames) { onFrames(frames); });
 }
 
 void PeerTransport::send(Endpoint peer, const PeerMessage& message) {
@@ -55,34 +62,16 @@
   socket.set(zmq::sockopt::sndhwm, kSendQueueLength);
   socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMilliseconds);
   socket.set(zmq::sockopt::routing_id, toString(address_));
+  if (security_.enabled()) {
+    PeerGate::secureSender(socket, security_);
+  }
   socket.connect(zmqAddress(peer));
   return senders_.emplace(peer, std::move(socket)).first->second;
 }
 
-void PeerTransport::waitForFrames() {
-  receiver_descriptor_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
-                                  [this](const boost::system::error_code& error) {
-                                    if (error) {
-                                      return;
-                                    }
-                                    receiveFrames();
-                                    waitForFrames();
-                                  });
-}
-
-void PeerTransport::receiveFrames() {
-  // The descriptor signals only changes, so everything that is there must be read.
-  zmq::message_t sender;
-  while (receiver_.recv(sender, zmq::recv_flags::dontwait)) {
-    zmq::message_t body;
-    while (receiver_.get(zmq::sockopt::rcvmore)) {
-      static_cast<void>(receiver_.recv(body, zmq::recv_flags::none));
-    }
-    onFrames(sender, body);
-  }
-}
-
-void PeerTransport::onFrames(const zmq::message_t& sender, const zmq::message_t& body) {
+void PeerTransport::onFrames(const ZmqReader::Frames& frames) {
+  const zmq::message_t& sender = frames.front();
+  const zmq::message_t& body = frames.back();
   counters_.bytes_received += body.size();
   const auto from = parseEndpoint(sender.to_string_view());
   const auto message =
--- a/src/runtime/peer_transport.h
+++ b/src/runtime/peer_transport.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/posix/stream_descriptor.hpp>
 #include <functional>
+#include <memory>
 #include <unordered_map>
 #include <zmq.hpp>
 
+#include "runtime/peer_gate.h"
 #include "wire/peer_message.h"
 
 namespace lugfork {
@@ -30,26 +31,29 @@
  public:
   using Handler = std::function<void(Endpoint, const PeerMessage&)>;
 
-  /** @throws zmq::error_t where the address can't be bound. */
-  PeerTransport(boost::asio::io_context& io_context, Endpoint address, Handler handler);
-  ~PeerTransport();
+  /** @throws std::runtime_error where the address can't be bound or a key is wrong. */
+  PeerTransport(boost::asio::io_context& io_context, Endpoint address,
+                PeerSecuritySettings security, Handler handler);
 
   /** Sends without waiting; a message to a peer that is away is dropped. */
   void send(Endpoint peer, const PeerMessage& message);
 
   const PeerTransportCounters& counters() const { return counters_; }
 
+  /** @return connection attempts refused because of their keys since the start. */
+  std::uint64_t refusedPeers() const { return gate_ == nullptr ? 0 : gate_->refused(); }
+
  private:
   zmq::socket_t& socketOf(Endpoint peer);
-  void waitForFrames();
-  void receiveFrames();
-  void onFrames(const zmq::message_t& sender, const zmq::message_t& body);
+  void onFrames(const ZmqReader::Frames& frames);
 
   const Endpoint address_;
+  const PeerSecuritySettings security_;
   Handler handler_;
   zmq::context_t context_;
   zmq::socket_t receiver_;
-  boost::asio::posix::stream_descriptor receiver_descriptor_;
+  std::unique_ptr<PeerGate> gate_;
+  std::unique_ptr<ZmqReader> reader_;
   std::unordered_map<Endpoint, zmq::socket_t> senders_;
   PeerTransportCounters counters_;
 };
--- a/tests/process/failure_test.cc
+++ b/tests/process/failure_test.cc
@@ -123,6 +123,16 @@
   CHECK(before > 0);
 }
 
+TEST_CASE("a balancer with the keys of another fleet is refused by its peers") {
+  Fleet fleet;
+  fleet.balancer(2).signal(SIGTERM);
+  CHECK(fleet.balancer(2).wait() == 0);
+  CHECK(fleet.metric(0, "lugfork_peers_refused_total") == 0);
+  fleet.startStranger(2);
+  fleet.waitFor("a refused peer at balancer 0",
+                [&] { return fleet.metric(0, "lugfork_peers_refused_total") > 0; });
+}
+
 TEST_CASE("a rolling restart of all balancers breaks no flow") {
   checkNothingBreaks(
       [](Fleet& fleet) {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -14,10 +14,13 @@
 #include <functional>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
+#include <utility>
 
 #include "runtime/http_client.h"
+#include "runtime/peer_security.h"
 
 extern char** environ;
 
@@ -131,7 +134,8 @@
   json summary;
 };
 
-/** Platform, fabric, three balancers in three zones, three listen-api and two ingest back ends. */
+/** Platform, fabric, three balancers (CURVE keys, API token) in three zones, three listen-api and
+ * two ingest back ends. */
 class Fleet {
  public:
   static constexpr int kBalancers = 3;
@@ -192,10 +196,41 @@
                                         "--platform",
                                         ports_.text(kPlatform),
                                         "--platform-interval",
-                                        "200"};
+                                        "200",
+                                        "--peer-public-key",
+                                        keys_.public_key,
+                                        "--peer-secret-key",
+                                        keys_.secret_key,
+                                        "--api-token",
+                                        kToken};
     start("balancer-" + std::to_string(index), command);
   }
 
+  /** Starts a balancer in place of one of the fleet, with keys of its own. */
+  void startStranger(int index) {
+    const PeerKeyPair fleet_keys = std::exchange(keys_, makePeerKeyPair());
+    startBalancer(index);
+    keys_ = fleet_keys;
+  }
+
+  /** @return the sum over a metric's labels; 0 for an unknown one. */
+  double metric(int index, const std::string& name) const {
+    HttpCall call;
+    call.server = ports_.endpoint(kApi + index);
+    call.target = "/metrics";
+    call.bearer_token = kToken;
+    const auto reply = httpRequest(call);
+    std::istringstream lines(reply ? reply.value().body : "");
+    std::string line;
+    double sum = 0;
+    while (std::getline(lines, line)) {
+      if (line.starts_with(name + " ") || line.starts_with(name + "{")) {
+        sum += std::stod(line.substr(line.rfind(' ') + 1));
+      }
+    }
+    return sum;
+  }
+
   void waitReady(int index) {
     waitFor(balancerName(index) + " ready", [this, index] {
       return get(ports_.endpoint(kApi + index), "/healthz").value("ready", false);
@@ -224,9 +259,18 @@
   int publish() {
     document_["version"] = document_["version"].get<std::uint64_t>() + 1;
     writeFile("next.json", document_.dump());
-    std::vector<std::string> command = {
-        program("lugforkctl"),  "apply",  "-f",           file("next.json"), "--platform",
-        ports_.text(kPlatform), "--wait", "--wait-limit", "60000",           "--node"};
+    std::vector<std::string> command = {program("lugforkctl"),
+                                        "apply",
+                                        "-f",
+                                        file("next.json"),
+                                        "--platform",
+                                        ports_.text(kPlatform),
+                                        "--wait",
+                                        "--wait-limit",
+                                        "60000",
+                                        "--api-token",
+                                        kToken,
+                                        "--node"};
     for (int index = 0; index < kBalancers; ++index) {
       command.push_back(ports_.text(kApi + index));
     }
@@ -302,6 +346,7 @@
   }
 
   const PortBlock& ports() const { return ports_; }
+  static constexpr const char* kToken = "process-test-token";
   static constexpr int kPlatform = 1;
   static constexpr int kFabric = 2;
   static constexpr int kData = 10;
@@ -357,6 +402,7 @@
     HttpCall call;
     call.server = server;
     call.target = path;
+    call.bearer_token = kToken;
     const auto reply = httpRequest(call);
     const json body = reply ? json::parse(reply.value().body, nullptr, false) : json();
     return body.is_structured() ? body : json::object();
@@ -397,6 +443,7 @@
   }
 
   PortBlock ports_;
+  PeerKeyPair keys_ = makePeerKeyPair();
   std::string directory_;
   json document_;
   std::string control_output_;
--- a/tests/runtime/bad_input_test.cc
+++ b/tests/runtime/bad_input_test.cc
@@ -65,7 +65,31 @@
   for (const Row& row : rows) {
     INFO(row.name);
     fixture.node.onPlatformConfiguration(row.document);
-    fixture.node.onPeerMessage(kFabric, ConfigurationReply{NodeId(7), row.document});
+    CHECK(fixture.node.configuration().documentInForce() == document);
+  }
+}
+
+TEST_CASE("a delta from a peer that does not hold together changes nothing in force") {
+  NodeFixture fixture;
+  fixture.node.onPlatformConfiguration(radioDocument().dump());
+  const std::string document = fixture.node.configuration().documentInForce();
+  const ConfigurationId here = fixture.node.configuration().id();
+  const ConfigurationId next{ConfigVersion(2), here.digest + 1};
+  const ResourceRecord garbage{{ResourceKind::Backend, 1}, {0xc1, 0xff}};
+  struct Row {
+    const char* name;
+    ConfigurationDelta delta;
+  };
+  const Row rows[] = {
+      {"body that is no resource", {here, next, {garbage}, {}}},
+      {"digest that does not fit", {here, next, {}, {}}},
+      {"removal of a zone in use", {here, next, {}, {{ResourceKind::Zone, 1}}}},
+      {"from a version never held", {{ConfigVersion(7), 1}, {ConfigVersion(8), 2}, {}, {}}},
+      {"to an older version", {here, {ConfigVersion(0), 0}, {}, {}}},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    fixture.node.onPeerMessage(kFabric, row.delta);
     CHECK(fixture.node.configuration().documentInForce() == document);
   }
 }
--- a/tests/runtime/http_server_test.cc
+++ b/tests/runtime/http_server_test.cc
@@ -1,6 +1,7 @@
 #include "runtime/http_server.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "runtime/http_client.h"
 #include "runtime/node_fixture.h"
@@ -13,17 +14,19 @@
 
 /** Serves the resource API of one node on a free loopback port. */
 struct ApiFixture : NodeFixture {
-  ResourceApi api{node};
+  PeerStatusTable peers{clock};
+  ResourceApi api{node, peers, clock};
   HttpServer server{Endpoint{0x7f000001, 0},
                     [this](const HttpRequest& request) { return api.handle(request); }};
 
-  HttpReply ask(const std::string& method, const std::string& target,
-                const std::string& body = "") const {
+  HttpReply ask(const std::string& method, const std::string& target, const std::string& body = "",
+                const std::map<std::string, std::string>& headers = {}) const {
     HttpCall call;
     call.method = method;
     call.server = server.localAddress();
     call.target = target;
     call.body = body;
+    call.headers = headers;
     call.timeout = seconds(10);
     return httpRequest(call).value();
   }
@@ -50,6 +53,11 @@
   };
   const Row rows[] = {
       {"list", "GET", "/v1/services", "", 200},
+      {"one resource", "GET", "/v1/backends/ingest-1", "", 200},
+      {"nodes", "GET", "/v1/nodes", "", 200},
+      {"schema", "GET", "/v1/schema", "", 200},
+      {"no resource of that name", "GET", "/v1/backends/nobody", "", 404},
+      {"empty name", "GET", "/v1/backends/", "", 404},
       {"unknown resource", "GET", "/v1/nothing", "", 404},
       {"outside the API", "GET", "/", "", 404},
       {"path that climbs", "GET", "/v1/../../etc/passwd", "", 404},
@@ -80,10 +88,148 @@
   CHECK(problem["errors"][1]["path"] == "/backends/2/service");
 }
 
+TEST_CASE("a resource tells what is declared, what this node sees, and why") {
+  ApiFixture fixture;
+  json document = radioDocument();
+  document["backends"][0]["draining"] = true;
+  fixture.node.onPlatformConfiguration(document.dump());
+  struct Row {
+    const char* backend;
+    bool takes_new_flows;
+    const char* reason;
+  };
+  BackendReport away;
+  away.backend = BackendId(2);
+  fixture.node.onBackendReport(away);
+  BackendReport ready;
+  ready.backend = BackendId(3);
+  ready.reachable = true;
+  ready.uptime_ms = 3600000;
+  ready.measured_at_ms = toUnixMilliseconds(fixture.clock.systemTime());
+  fixture.node.onBackendReport(ready);
+  const Row rows[] = {{"listen-api-1", false, "declared_draining"},
+                      {"listen-api-2", false, "unreachable"},
+                      {"listen-api-3", true, "placeable"}};
+  for (const Row& row : rows) {
+    const std::string target = std::string("/v1/backends/") + row.backend;
+    const json item = json::parse(fixture.ask("GET", target).body);
+    INFO(item.dump());
+    CHECK(item["metadata"]["name"] == row.backend);
+    CHECK(item["spec"]["version"] == 1);
+    CHECK(item["status"]["in_force"]["version"] == 1);
+    const json& condition = item["status"]["conditions"][1];
+    CHECK(condition["type"] == "TakesNewFlows");
+    CHECK(condition["status"] == row.takes_new_flows);
+    CHECK(condition["reason"] == row.reason);
+    CHECK(condition["since_ms"].is_number_unsigned());
+  }
+}
+
+TEST_CASE("a condition keeps its time until it changes") {
+  ApiFixture fixture;
+  fixture.node.onPlatformConfiguration(radioDocument().dump());
+  const auto condition = [&] {
+    const json item = json::parse(fixture.ask("GET", "/v1/backends/ingest-1").body);
+    return item["status"]["conditions"][0];
+  };
+  const json first = condition();
+  std::this_thread::sleep_for(milliseconds(5));
+  CHECK(condition() == first);
+}
+
+TEST_CASE("a known entity tag is answered by 304 until the content changes") {
+  ApiFixture fixture;
+  json document = radioDocument();
+  fixture.node.onPlatformConfiguration(document.dump());
+  const HttpReply first = fixture.ask("GET", "/v1/configuration");
+  REQUIRE_FALSE(first.etag.empty());
+  const HttpReply again =
+      fixture.ask("GET", "/v1/configuration", "", {{"If-None-Match", first.etag}});
+  CHECK(again.status == 304);
+  CHECK(again.body.empty());
+  document["version"] = 2;
+  fixture.node.onPlatformConfiguration(document.dump());
+  CHECK(fixture.ask("GET", "/v1/configuration", "", {{"If-None-Match", first.etag}}).status == 200);
+}
+
+TEST_CASE("watch parameters are checked") {
+  struct Row {
+    std::map<std::string, std::string> query;
+    bool watches;
+    bool valid;
+  };
+  const Row rows[] = {
+      {{}, false, true},
+      {{{"watch_from", "3"}}, true, true},
+      {{{"watch_from", "3"}, {"timeout_ms", "60000"}}, true, true},
+      {{{"watch_from", ""}}, false, false},
+      {{{"watch_from", "-1"}}, false, false},
+      {{{"watch_from", "3x"}}, false, false},
+      {{{"watch_from", "3"}, {"timeout_ms", "60001"}}, false, false},
+      {{{"watch_from", "3"}, {"timeout_ms", "soon"}}, false, false},
+  };
+  for (const Row& row : rows) {
+    HttpRequest request;
+    request.query = row.query;
+    const WatchParameters parameters = parseWatch(request);
+    INFO(parameters.problem);
+    CHECK(parameters.watch.has_value() == row.watches);
+    CHECK(parameters.problem.empty() == row.valid);
+  }
+}
+
+TEST_CASE("a server with a token answers nobody without it, save for the open paths") {
+  struct Row {
+    const char* name;
+    const char* path;
+    std::map<std::string, std::string> headers;
+    int status;
+  };
+  const Row rows[] = {
+      {"no token", "/v1/status", {}, 401},
+      {"wrong token", "/v1/status", {{"Authorization", "Bearer wrong!"}}, 401},
+      {"longer token", "/v1/status", {{"Authorization", "Bearer secret2"}}, 401},
+      {"other scheme", "/v1/status", {{"Authorization", "Basic secret"}}, 401},
+      {"right token", "/v1/status", {{"Authorization", "Bearer secret"}}, 200},
+      {"open path", "/healthz", {}, 200},
+      {"path below an open one", "/healthz/x", {}, 401},
+  };
+  HttpServerSecurity security;
+  security.bearer_token = "secret";
+  security.open_paths = {"/healthz"};
+  int handled = 0;
+  const HttpServer server(
+      {0x7f000001, 0},
+      [&](const HttpRequest&) {
+        ++handled;
+        return HttpResponse();
+      },
+      security);
+  int expected_handled = 0;
+  for (const Row& row : rows) {
+    INFO(row.name);
+    HttpCall call;
+    call.server = server.localAddress();
+    call.target = row.path;
+    call.headers = row.headers;
+    CHECK(httpRequest(call).value().status == row.status);
+    expected_handled += row.status == 200 ? 1 : 0;
+  }
+  CHECK(handled == expected_handled);
+}
+
+TEST_CASE("a server that is told to use HTTPS never serves plain HTTP") {
+  HttpServerSecurity security;
+  security.certificate_file = "missing.pem";
+  CHECK_THROWS_AS(HttpServer(
+                      {0x7f000001, 0}, [](const HttpRequest&) { return HttpResponse(); }, security),
+                  std::runtime_error);
+}
+
 TEST_CASE("no answer of the API holds a token secret") {
   ApiFixture fixture;
   fixture.node.onPlatformConfiguration(radioDocument().dump());
-  for (const char* target : {"/v1/configuration", "/v1/status", "/v1/backends"}) {
+  for (const char* target : {"/v1/configuration", "/v1/status", "/v1/backends", "/v1/nodes"}) {
     CHECK(fixture.ask("GET", target).body.find("5ca1ab1e") == std::string::npos);
   }
 }
