--- a/src/flow/flow_counters.h
+++ b/src/flow/flow_counters.h
@@ -15,10 +15,14 @@
 struct FlowCounters {
   std::uint64_t placements = 0;
   std::uint64_t replacements = 0;
+  /** Refusals that were relayed without a replacement because the retry budget was used up. */
+  std::uint64_t replacements_over_budget = 0;
   std::uint64_t forwards = 0;
   std::uint64_t forwards_continue_only = 0;
   /** Datagrams whose token is newer than the configuration in force; dropped, callers resend. */
   std::uint64_t drops_configuration_behind = 0;
+  /** Refusals that claim to come from a back end but not from its address or service. */
+  std::uint64_t drops_unverified_refusal = 0;
   /** Datagrams of a type that a balancer does not take. */
   std::uint64_t drops_unexpected_type = 0;
   std::array<std::uint64_t, kCodecErrorCount> drops_by_codec_error{};
