--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t kReadChunkBytes = 16UL * 1024;
 constexpr const char* kThreads = "16";
 constexpr int kUnauthorized = 401;
+constexpr int kInternalError = 500;
 
 std::string lowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
@@ -88,13 +89,19 @@
   return left.size() == right.size() && sodium_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
-HttpResponse unauthorized() {
+/** Problem document (RFC 9457) of the server itself. */
+HttpResponse serverProblem(int status, const std::string& title) {
   HttpResponse response;
-  response.status = kUnauthorized;
+  response.status = status;
   response.content_type = "application/problem+json";
+  response.body = R"({"type":"about:blank","title":")" + title + R"(","status":)" +
+                  std::to_string(status) + "}\n";
+  return response;
+}
+
+HttpResponse unauthorized() {
+  HttpResponse response = serverProblem(kUnauthorized, "a bearer token is needed");
   response.headers["WWW-Authenticate"] = "Bearer";
-  response.body =
-      "{\"type\":\"about:blank\",\"title\":\"a bearer token is needed\",\"status\":401}\n";
   return response;
 }
 
@@ -111,10 +118,19 @@
  private:
   bool handle(mg_connection* connection) {
     const HttpRequest request = readRequest(connection);
-    writeResponse(connection, isAuthorized(request) ? handler_(request) : unauthorized());
+    writeResponse(connection, isAuthorized(request) ? answer(request) : unauthorized());
     return true;
   }
 
+  /** The threads are CivetWeb's: an exception that reached them would end the process. */
+  HttpResponse answer(const HttpRequest& request) const {
+    try {
+      return handler_(request);
+    } catch (const std::exception&) {
+      return serverProblem(kInternalError, "the request could not be answered");
+    }
+  }
+
   bool isAuthorized(const HttpRequest& request) const {
     if (security_.bearer_token.empty() || security_.open_paths.contains(request.path)) {
       return true;
--- a/src/runtime/resource_views.cc
+++ b/src/runtime/resource_views.cc
@@ -30,6 +30,13 @@
   return names;
 }
 
+std::string degradedReason(const ClusterStatus& cluster) {
+  if (cluster.join == JoinState::Degraded) {
+    return "joined_without_enough_answers";
+  }
+  return cluster.degraded() ? "view_unconfirmed" : "view_confirmed";
+}
+
 }  // namespace
 
 void ResourceViews::observeAll() {
@@ -166,9 +173,8 @@
         {"conditions",
          json::array({condition(key, "InForce", current, current ? "adopted" : "no_configuration"),
                       condition(key, "PlacesNewFlows", blocked_by == Reason::None,
-                                blocked_by == Reason::None ? "view_fresh" : toString(blocked_by)),
-                      condition(key, "Degraded", cluster.degraded(),
-                                cluster.degraded() ? "view_unconfirmed" : "view_confirmed")})}}}};
+                                blocked_by == Reason::None ? "ready" : toString(blocked_by)),
+                      condition(key, "Degraded", cluster.degraded(), degradedReason(cluster))})}}}};
 }
 
 json ResourceViews::peer(const Machine& machine) {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -33,6 +33,11 @@
 inline constexpr auto kStateLimit = std::chrono::seconds(60);
 inline constexpr auto kPollInterval = std::chrono::milliseconds(50);
 
+inline std::string readFile(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
 /** One started program; killed at the end of the scope if it still runs. */
 class Process {
  public:
@@ -77,10 +82,7 @@
     return exit_code_;
   }
 
-  std::string output() const {
-    std::ifstream file(output_file_);
-    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-  }
+  std::string output() const { return readFile(output_file_); }
 
  private:
   const std::string output_file_;
@@ -280,12 +282,23 @@
   /** Runs lugforkctl. @return the exit code; the output stands in controlOutput(). */
   int control(std::vector<std::string> arguments) {
     arguments.insert(arguments.begin(), program("lugforkctl"));
+    std::filesystem::remove(file("control.log"));
     Process process(arguments, file("control"));
     const int exit_code = process.wait();
     control_output_ = process.output();
+    control_errors_ = readFile(file("control.log"));
     return exit_code;
   }
   const std::string& controlOutput() const { return control_output_; }
+  const std::string& controlErrors() const { return control_errors_; }
+
+  /** Writes the document with a version. @return the file's path. */
+  std::string writeDocument(const std::string& name, int version) const {
+    json document = document_;
+    document["version"] = version;
+    writeFile(name, document.dump());
+    return file(name);
+  }
 
   /** Starts callers of listen-api (streams) or ingest (uploads). */
   std::unique_ptr<Process> startStreams(int calls, int pieces) {
@@ -361,8 +374,9 @@
     return kNames[static_cast<std::size_t>(index) % kNames.size()];
   }
   static std::string balancerName(int index) { return zoneName(index) + "-balancer"; }
+  /** The programs lie beside the test program. */
   static std::string program(const std::string& name) {
-    return std::string(LUGFORK_BINARY_DIR) + "/" + name;
+    return std::filesystem::read_symlink("/proc/self/exe").parent_path() / name;
   }
   std::string file(const std::string& name) const { return directory_ + "/" + name; }
   void writeFile(const std::string& name, const std::string& text) const {
@@ -415,15 +429,17 @@
     json backends = json::array();
     for (int index = 0; index < kBackends; ++index) {
       const bool listen = index < kListenBackends;
-      backends.push_back({{"id", index + 1},
-                          {"name", "backend-" + std::to_string(index + 1)},
-                          {"service", listen ? "listen-api" : "ingest"},
-                          {"zone", zoneName(index)},
-                          {"address", ports_.text(kBackendData + index)},
-                          {"probe_address", ports_.text(kProbe + index)},
-                          {"slots", 2},
-                          {"connections", 2000},
-                          {"draining", false}});
+      backends.push_back(
+          {{"id", index + 1},
+           {"name", listen ? "listen-api-" + std::to_string(index + 1)
+                           : "ingest-" + std::to_string(index + 1 - kListenBackends)},
+           {"service", listen ? "listen-api" : "ingest"},
+           {"zone", zoneName(index)},
+           {"address", ports_.text(kBackendData + index)},
+           {"probe_address", ports_.text(kProbe + index)},
+           {"slots", 2},
+           {"connections", 2000},
+           {"draining", false}});
     }
     document["backends"] = backends;
     return document;
@@ -447,6 +463,7 @@
   std::string directory_;
   json document_;
   std::string control_output_;
+  std::string control_errors_;
   std::map<std::string, std::unique_ptr<Process>> processes_;
 };
 
--- a/tests/runtime/http_server_test.cc
+++ b/tests/runtime/http_server_test.cc
@@ -58,6 +58,8 @@
       {"schema", "GET", "/v1/schema", "", 200},
       {"no resource of that name", "GET", "/v1/backends/nobody", "", 404},
       {"empty name", "GET", "/v1/backends/", "", 404},
+      {"name that is no UTF-8", "GET", "/v1/backends/%ff", "", 404},
+      {"deeply nested", "POST", "/v1/validate", std::string(100000, '['), 422},
       {"unknown resource", "GET", "/v1/nothing", "", 404},
       {"outside the API", "GET", "/", "", 404},
       {"path that climbs", "GET", "/v1/../../etc/passwd", "", 404},
@@ -218,6 +220,21 @@
   CHECK(handled == expected_handled);
 }
 
+TEST_CASE("a handler that throws is answered by 500, and the server goes on") {
+  const HttpServer server({0x7f000001, 0}, [](const HttpRequest& request) -> HttpResponse {
+    if (request.path == "/broken") {
+      throw std::runtime_error("a fault of the handler");
+    }
+    return HttpResponse();
+  });
+  HttpCall call;
+  call.server = server.localAddress();
+  for (const auto& [path, status] : {std::pair("/broken", 500), std::pair("/", 200)}) {
+    call.target = path;
+    CHECK(httpRequest(call).value().status == status);
+  }
+}
+
 TEST_CASE("a server that is told to use HTTPS never serves plain HTTP") {
   HttpServerSecurity security;
   security.certificate_file = "missing.pem";
