--- a/src/client/caller_flow.cc
+++ b/src/client/caller_flow.cc
@@ -7,26 +7,38 @@
 
 CallerFlow::CallerFlow(CallerSettings settings, CallRequest request, FlowId flow,
                        const TimeSource& time_source, RandomGenerator& random,
-                       CallerOutputs& outputs)
+                       CallerOutputs& outputs, RetryBudget* retry_budget)
     : settings_(settings),
       request_(std::move(request)),
       time_source_(time_source),
       random_(random),
       outputs_(outputs),
+      retry_budget_(retry_budget),
       key_{flow, 0} {}
 
 void CallerFlow::start() {
   started_at_ = time_source_.monotonicTime();
+  if (retry_budget_ != nullptr) {
+    retry_budget_->onFirstTry();
+  }
   beginAttempt();
 }
 
 void CallerFlow::onDatagram(const Datagram& datagram) {
   if (state_ == State::Ended) {
+    confirmAgain(datagram);
     return;
   }
   std::visit([this](const auto& body) { handle(body); }, datagram);
 }
 
+void CallerFlow::confirmAgain(const Datagram& datagram) {
+  const Answer* answer = std::get_if<Answer>(&datagram);
+  if (answer != nullptr && answer->key == key_ && result_ == CallResult::Whole) {
+    sendAnswerAck();
+  }
+}
+
 void CallerFlow::onTick() {
   if (state_ == State::Ended) {
     return;
@@ -38,12 +50,12 @@
   }
   if (state_ == State::BackingOff) {
     if (now >= retry_at_) {
-      beginAttempt();
+      retryWithinBudget();
     }
     return;
   }
   if (state_ == State::Opening && now - attempt_started_at_ >= settings_.open_timeout) {
-    retryOrEnd(CallResult::NotRun, Duration::zero());
+    waitToRetry(CallResult::NotRun, settings_.backoff_base);
     return;
   }
   if (state_ == State::Active && now - last_heard_at_ >= settings_.idle_timeout) {
@@ -60,12 +72,24 @@
       sendWindow();
     }
   }
-  if (state_ == State::Active && now >= next_keepalive_at_) {
+  // A keepalive that overtook the first piece would meet a back end that does not know the flow.
+  if (state_ == State::Active && established_ && now >= next_keepalive_at_) {
     sendAnswerAck();
   }
 }
 
+void CallerFlow::retryWithinBudget() {
+  if (retry_budget_ == nullptr || retry_budget_->tryTake()) {
+    beginAttempt();
+    return;
+  }
+  waitToRetry(pending_result_, settings_.backoff_base);
+}
+
 void CallerFlow::cancel() {
+  if (state_ == State::Ended) {
+    return;
+  }
   if (state_ == State::Active) {
     outputs_.sendToService(Cancel{request_.service, key_, token_});
   }
@@ -84,6 +108,7 @@
     return;
   }
   last_heard_at_ = time_source_.monotonicTime();
+  established_ = true;
   if (ack.next_expected <= next_unconfirmed_ || ack.next_expected > pieces_.size()) {
     return;
   }
@@ -99,6 +124,7 @@
     return;
   }
   last_heard_at_ = time_source_.monotonicTime();
+  established_ = true;
   next_unconfirmed_ = static_cast<std::uint32_t>(pieces_.size());
   next_to_send_ = next_unconfirmed_;
   if (answer.sequence >= next_answer_piece_) {
@@ -117,8 +143,12 @@
 }
 
 void CallerFlow::handle(const Refused& refused) {
+  // Several balancers may answer copies of one Open. Once a placement is in use, a refusal of a
+  // copy says nothing of the work; only the back end's refusal of the attempt does.
+  const RefusalScope awaited =
+      state_ == State::Active ? RefusalScope::Attempt : RefusalScope::Placement;
   const bool awaiting = state_ == State::Opening || state_ == State::Active;
-  if (!awaiting || refused.key != key_) {
+  if (!awaiting || refused.scope != awaited || refused.key != key_) {
     return;
   }
   last_reason_ = refused.reason;
@@ -131,7 +161,7 @@
     activate(refused.replacement);
     return;
   }
-  retryOrEnd(CallResult::NotRun, milliseconds(refused.retry_after_ms));
+  waitToRetry(CallResult::NotRun, milliseconds(refused.retry_after_ms));
 }
 
 void CallerFlow::handle(const Reset& reset) {
@@ -162,6 +192,7 @@
   answers_ahead_.clear();
   last_answer_piece_.reset();
   last_heard_at_ = now;
+  established_ = false;
   resend_interval_ = settings_.resend_interval;
   next_resend_at_ = now + resend_interval_;
   next_keepalive_at_ = now + settings_.keepalive_interval;
@@ -204,10 +235,10 @@
     end(CallResult::Unknown);
     return;
   }
-  retryOrEnd(CallResult::Unknown, retry_after);
+  waitToRetry(CallResult::Unknown, retry_after);
 }
 
-void CallerFlow::retryOrEnd(CallResult result, Duration retry_after) {
+void CallerFlow::waitToRetry(CallResult result, Duration retry_after) {
   retry_after_ = retry_after;
   const Duration wait = std::max(retry_after, backoff());
   retry_at_ = time_source_.monotonicTime() + wait;
@@ -217,6 +248,7 @@
     end(result);
     return;
   }
+  pending_result_ = result;
   state_ = State::BackingOff;
 }
 
