Say "not run" only while the back end's memory covers the attempt

Cause: an ended attempt is forgotten after 60 s. A copy of its request that came later (a healed cut, a late balancer) met an unknown key and an expired placement, and was refused as not run although it had run: the caller of an upload would have sent it again. Found by reading, not by a storm: their cuts are shorter than the memory. Ruled out: a longer memory, which only moves the time; keeping every key for ever, which grows. Change: an attempt placed longer ago than the memory (less the clock skew) gets the outcome unknown. Conclusion: the rule is stated where the refusal is made; a storm with cuts longer than the memory is still to be added.

--- a/src/sim/backend_model.cc
+++ b/src/sim/backend_model.cc
@@ -57,7 +57,7 @@
   }
   auto found = flows_.find(data.key);
   if (found == flows_.end()) {
-    if (mayHaveRunBeforeRestart(data)) {
+    if (mayHaveRunBeforeRestart(data) || mayHaveBeenForgotten(data)) {
       sendRefusal(balancer, forward.caller, data.key, Reason::BackendGone, false);
       return;
     }
@@ -134,6 +134,11 @@
   return tokenPlacementTime(data.token) < started_at_system_ + settings_.clock_skew;
 }
 
+bool BackendModel::mayHaveBeenForgotten(const Data& data) const {
+  const Duration age = time_source_.systemTime() - tokenPlacementTime(data.token);
+  return age >= settings_.memory - settings_.clock_skew;
+}
+
 Reason BackendModel::admissionBlockedBy(const Data& data, const Forward& forward) const {
   const Duration age = time_source_.systemTime() - tokenPlacementTime(data.token);
   const bool expired = age > settings_.placement_lifetime + settings_.clock_skew;
--- a/src/sim/backend_model.h
+++ b/src/sim/backend_model.h
@@ -119,6 +119,9 @@
   Reason admissionBlockedBy(const Data& data, const Forward& forward) const;
   bool mayHaveRunBeforeRestart(const Data& data) const;
 
+  /** An attempt placed so long ago may have run, ended and been forgotten since. */
+  bool mayHaveBeenForgotten(const Data& data) const;
+
   /**
    * Right after a start, placements can't be told from those of an earlier life, because clocks
    * differ; the report asks for none until then.
