--- a/src/flow/backend_load_table.cc
+++ b/src/flow/backend_load_table.cc
@@ -13,6 +13,9 @@
 /** Weight of a report from which it may close a back end to new flows. */
 constexpr double kTrustedReportWeight = 0.5;
 
+/** Residences after which about a third is left of what a report showed beyond the usual. */
+constexpr double kReportMemory = 3;
+
 /** A balancer places on a free back end at least this often for each residence. */
 constexpr double kSmallestShare = 1;
 
@@ -56,6 +59,10 @@
   const double kept = entry.has_report && interval_ms > 0 ? lag_ms / interval_ms : 0;
   entry.placed = placedAndPresent(entry) * std::clamp(kept, 0.0, 1.0);
   entry.placed_at = now;
+  entry.report_lag = std::max(0.0, lag_ms / 1000);
+  const double requests = requestsIn(report);
+  const bool has_history = entry.has_report && !restarted;
+  entry.usual_requests = has_history ? smoothed(entry.usual_requests, requests) : requests;
   entry.report = report;
   entry.has_report = true;
   entry.report_received_at = now;
@@ -83,8 +90,13 @@
   double requests = 0;
   std::size_t reported = 0;
   for (const Backend* backend : backends) {
-    const Entry* entry = find(backend->id);
-    if (entry == nullptr || !reportIsCurrent(*entry) || !entry->report.reachable) {
+    const auto found = entries_.find(backend->id);
+    if (found == entries_.end()) {
+      continue;
+    }
+    Entry* entry = &found->second;
+    entry->service = service;
+    if (!reportIsCurrent(*entry) || !entry->report.reachable) {
       continue;
     }
     load_sum += loadOf(*backend, entry->report);
@@ -152,7 +164,7 @@
   const double startup_share = startupShare(*entry);
   const double free_connections = static_cast<double>(backend.connections) * startup_share -
                                   static_cast<double>(report.open_connections);
-  const double free_slots = backend.slots * full_load * startup_share - requestsIn(report);
+  const double free_slots = backend.slots * full_load * startup_share - reportedRequestsNow(*entry);
   const double free_places = std::min(free_connections, free_slots);
   if (free_places <= 0) {
     return true;
@@ -175,10 +187,14 @@
     return typical_load;
   }
   const double weight = reportWeight(*entry);
-  const double reported = weight > 0 ? loadOf(backend, entry->report) : 0;
+  const double connection_load =
+      static_cast<double>(entry->report.open_connections) / backend.connections;
+  const double reported =
+      weight > 0 ? std::max(connection_load, reportedRequestsNow(*entry) / backend.slots) : 0;
   const double peers = settings_.peer_placement_weight * (live_balancers_ - 1);
   const double placed = placedAndPresent(*entry) * (1 + peers) / backend.slots;
-  const double load = weight * reported + (1 - weight) * typical_load + placed;
+  const double believed = std::max(reported, settings_.report_floor * typical_load);
+  const double load = weight * believed + (1 - weight) * typical_load + placed;
   return weight > 0 ? load / startupShare(*entry) : load;
 }
 
@@ -221,12 +237,21 @@
   return std::max(0.0, 1 - part * part);
 }
 
+double BackendLoadTable::reportedRequestsNow(const Entry& entry) const {
+  const double age =
+      toSeconds(time_source_.monotonicTime() - entry.report_received_at) + entry.report_lag;
+  const double memory = kReportMemory * toSeconds(residence(entry.service));
+  const double beyond_usual = requestsIn(entry.report) - entry.usual_requests;
+  return entry.usual_requests + beyond_usual * std::exp(-age / memory);
+}
+
 double BackendLoadTable::placedAndPresent(const Entry& entry) const {
   if (entry.placed == 0) {
     return 0;
   }
   const Duration age = time_source_.monotonicTime() - entry.placed_at;
-  return entry.placed * std::exp(-toSeconds(age) / toSeconds(residence(entry.service)));
+  return entry.placed * std::exp(-toSeconds(age) / (settings_.placement_memory *
+                                                    toSeconds(residence(entry.service))));
 }
 
 double BackendLoadTable::startupShare(const Entry& entry) const {
--- a/src/flow/backend_load_table.h
+++ b/src/flow/backend_load_table.h
@@ -18,7 +18,11 @@
   /** Share that a back end gets right after its start. */
   double slow_start_floor = 0.1;
   /** What was placed here stands for 1 + (live balancers - 1) times this much. */
-  double peer_placement_weight = 0;
+  double peer_placement_weight = 1;
+  /** Smallest load that a report is believed to show, as a share of the service's mean load. */
+  double report_floor = 1;
+  /** Residences after which about a third of what was placed here counts as present still. */
+  double placement_memory = 1;
   /** Bounds of the estimated time for which a placed request counts to a back end's load. */
   Duration residence_min = milliseconds(20);
   Duration residence_max = seconds(10);
@@ -94,6 +98,10 @@
   struct Entry {
     BackendReport report;
     MonotonicTime report_received_at;
+    /** Requests present, smoothed over reports. */
+    double usual_requests = 0;
+    /** Age of the last report at its arrival, in seconds. */
+    double report_lag = 0;
     bool has_report = false;
     /** Requests placed here and believed to be present still, as of placed_at. */
     double placed = 0;
@@ -121,6 +129,12 @@
   double reportWeight(const Entry& entry) const;
   double startupShare(const Entry& entry) const;
 
+  /**
+   * @return requests present by the reports: what the last one showed beyond the usual number has
+   * ended after a few residences.
+   */
+  double reportedRequestsNow(const Entry& entry) const;
+
   /** @return requests placed here that are believed to be present and not in the report. */
   double placedAndPresent(const Entry& entry) const;
   void updatePlacementRate(ServiceLoad& load) const;
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -42,21 +42,25 @@
     return;
   }
   if (const auto* sprayed = std::get_if<Sprayed>(&decoded.value())) {
-    onCallerDatagram(sprayed->datagram, sprayed->caller);
+    onSprayed(*sprayed);
   } else if (const auto* refusal = std::get_if<BackendRefusal>(&decoded.value())) {
     onBackendRefusal(*refusal, from);
   } else {
-    onCallerDatagram(bytes, from);
+    onCallerDatagram(decoded.value(), bytes, from);
   }
 }
 
-void FlowRouter::onCallerDatagram(std::span<const std::uint8_t> bytes, Endpoint caller) {
-  const auto decoded = decodeDatagram(bytes);
+void FlowRouter::onSprayed(const Sprayed& sprayed) {
+  const auto decoded = decodeDatagram(sprayed.datagram);
   if (!decoded) {
     ++counters_.drops_by_codec_error[static_cast<std::size_t>(decoded.error())];
     return;
   }
-  const Datagram& datagram = decoded.value();
+  onCallerDatagram(decoded.value(), sprayed.datagram, sprayed.caller);
+}
+
+void FlowRouter::onCallerDatagram(const Datagram& datagram, std::span<const std::uint8_t> bytes,
+                                  Endpoint caller) {
   if (const auto* open = std::get_if<Open>(&datagram)) {
     onOpen(*open, caller);
   } else if (const auto* data = std::get_if<Data>(&datagram)) {
--- a/src/flow/flow_router.h
+++ b/src/flow/flow_router.h
@@ -67,7 +67,9 @@
   const FlowCounters& counters() const { return counters_; }
 
  private:
-  void onCallerDatagram(std::span<const std::uint8_t> bytes, Endpoint caller);
+  void onSprayed(const Sprayed& sprayed);
+  void onCallerDatagram(const Datagram& datagram, std::span<const std::uint8_t> bytes,
+                        Endpoint caller);
   void onOpen(const Open& open, Endpoint caller);
   /** Drops a refusal that names a declared back end but does not come from its address. */
   void onBackendRefusal(const BackendRefusal& refusal, Endpoint from);
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -23,7 +23,7 @@
   /** The same for a list that has become empty. */
   Duration empty_list_lifetime = milliseconds(50);
   /** Requests over slots from which a back end counts as full. */
-  double full_load = 4.0;
+  double full_load = 8.0;
   /** Smallest share of reachable back ends with which reports of reachability are believed. */
   double panic_threshold = 0.5;
   /** Bounds of the time that callers are told to wait when every back end is full. */
--- /dev/null
+++ b/src/flow/policy/round_robin_of_two_policy.cc
@@ -0,0 +1,24 @@
+#include "flow/policy/round_robin_of_two_policy.h"
+
+namespace lugfork {
+
+namespace {
+
+/** Smallest difference of the load over capacity that is more than noise of the reports. */
+constexpr double kClearDifference = 0.5;
+
+}  // namespace
+
+std::size_t RoundRobinOfTwoPolicy::choose(const CandidateSet& candidates, const FlowId&,
+                                          RandomGenerator& random) {
+  if (!started_) {
+    next_ = random.below(candidates.size());
+    started_ = true;
+  }
+  const std::size_t in_turn = next_++ % candidates.size();
+  const std::size_t other = random.below(candidates.size());
+  const double difference = candidates.estimatedLoad(in_turn) - candidates.estimatedLoad(other);
+  return difference > kClearDifference ? other : in_turn;
+}
+
+}  // namespace lugfork
--- a/src/flow/policy/round_robin_policy.cc
+++ b/src/flow/policy/round_robin_policy.cc
@@ -3,7 +3,11 @@
 namespace lugfork {
 
 std::size_t RoundRobinPolicy::choose(const CandidateSet& candidates, const FlowId&,
-                                     RandomGenerator&) {
+                                     RandomGenerator& random) {
+  if (!started_) {
+    next_ = random.below(candidates.size());
+    started_ = true;
+  }
   return next_++ % candidates.size();
 }
 
--- a/src/flow/policy/round_robin_policy.h
+++ b/src/flow/policy/round_robin_policy.h
@@ -4,13 +4,14 @@
 
 namespace lugfork {
 
-/** Takes the candidates in turn. Baseline for comparisons. */
+/** Takes the candidates in turn, from a random start. Baseline for comparisons. */
 class RoundRobinPolicy : public PlacementPolicy {
  public:
   std::size_t choose(const CandidateSet& candidates, const FlowId& flow,
                      RandomGenerator& random) override;
 
  private:
+  bool started_ = false;
   std::size_t next_ = 0;
 };
 
