--- a/src/balancer/node.h
+++ b/src/balancer/node.h
@@ -66,6 +66,8 @@
   std::size_t live_members = 0;
   std::size_t known_members = 0;
   std::uint64_t configuration_conflicts = 0;
+  /** Time since the request whose answer last confirmed the view. */
+  Duration view_age{};
 
   /** @return true if the node places on a view that nothing confirmed in time. */
   bool degraded() const { return join == JoinState::Degraded || view == ViewState::Degraded; }
@@ -131,6 +133,8 @@
   void handle(Endpoint from, const GossipPush& push);
   void handle(Endpoint from, const MembersRequest& request);
   void handle(Endpoint from, const MembersReply& reply);
+  void handle(Endpoint from, const ObservationsRequest& request);
+  void handle(Endpoint from, const ObservationsReply& reply);
   void handle(Endpoint from, const ConfigurationRequest& request);
   void handle(Endpoint from, const ConfigurationDelta& delta);
   void handle(Endpoint from, const ConfigurationSummary& summary);
@@ -140,12 +144,15 @@
   void onGossip(Endpoint from, const GossipHeader& gossip);
   void onObservation(const BackendObservation& observation);
   GossipHeader makeGossip(const MemberRecord* about, ObservationScope scope);
+  /** @return bytes that the budget leaves for more in a message. */
+  std::size_t roomAfter(const GossipHeader& gossip);
   ObservationAudience audience() const;
   bool isSmallFleet() const;
 
   void confirmView(MonotonicTime now);
   void pushNews();
   void spreadLoad(MonotonicTime now);
+  void requestObservations(MonotonicTime now);
   void probe(MonotonicTime now);
   void updateAssignment(MonotonicTime now);
 
@@ -167,6 +174,7 @@
   ControlBudget budget_;
   MonotonicTime next_gossip_;
   MonotonicTime next_confirmation_;
+  MonotonicTime next_observations_;
   MonotonicTime next_assignment_;
   /** Earliest read of the platform without an answer; unset if none is under way. */
   MonotonicTime platform_requested_at_;
