Prove the promises by fault tables; probe silent flows, excuse the caller's own pause

Cause: found by storms. (3) By reasoning, then a test: a caller that stood still took its own pause for silence. Ruled out: the token path itself; no reset named an established flow whose back end lived.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # make demo: install, build, serve requests through separate processes on loopback.
 # make test: install, build, run all tests.
-.PHONY: demo test build packages format format-check lint clean
+# make soak SEEDS=A..B: random storms of both users in the simulator; fails on a broken promise.
+.PHONY: demo test soak build packages format format-check lint clean
 
 build: packages
 	cmake --preset release > /dev/null
@@ -15,6 +16,11 @@
 test: build
 	ctest --preset release -j 4
 
+SEEDS ?= 1..200
+soak: build
+	build/lugfork-sim run --scenario scenarios/radio.toml --seeds $(SEEDS) --each-seed
+	build/lugfork-sim run --scenario scenarios/veroapu.toml --seeds $(SEEDS) --each-seed
+
 format:
 	git ls-files '*.cc' '*.h' | xargs clang-format -i
 
--- a/src/client/caller_flow.cc
+++ b/src/client/caller_flow.cc
@@ -5,6 +5,13 @@
 
 namespace lugfork {
 
+namespace {
+
+/** Ticks further apart than this mean that the caller's own process stood still. */
+constexpr Duration kLongestTickGap = milliseconds(500);
+
+}  // namespace
+
 CallerFlow::CallerFlow(CallerSettings settings, CallRequest request, FlowId flow,
                        const TimeSource& time_source, RandomGenerator& random,
                        CallerOutputs& outputs, RetryBudget* retry_budget)
@@ -48,6 +55,7 @@
     cancel();
     return;
   }
+  noteOwnPause(now);
   if (state_ == State::BackingOff) {
     if (now >= retry_at_) {
       retryWithinBudget();
@@ -76,6 +84,11 @@
   if (state_ == State::Active && established_ && now >= next_keepalive_at_) {
     sendAnswerAck();
   }
+  const bool silent = now - last_heard_at_ >= settings_.probe_after;
+  if (state_ == State::Active && silent && now >= next_probe_at_) {
+    next_probe_at_ = now + settings_.probe_interval;
+    sendProbe();
+  }
 }
 
 void CallerFlow::retryWithinBudget() {
@@ -218,6 +231,24 @@
   outputs_.sendToService(AnswerAck{request_.service, key_, token_, next_answer_piece_});
 }
 
+void CallerFlow::noteOwnPause(MonotonicTime now) {
+  const bool paused = last_tick_at_ != MonotonicTime() && now - last_tick_at_ >= kLongestTickGap;
+  last_tick_at_ = now;
+  if (paused) {
+    last_heard_at_ = now;
+  }
+}
+
+void CallerFlow::sendProbe() {
+  if (next_unconfirmed_ == pieces_.size()) {
+    sendAnswerAck();
+    return;
+  }
+  const bool last = next_unconfirmed_ + 1 == pieces_.size();
+  outputs_.sendToService(Data{request_.service, key_, token_, next_unconfirmed_, last,
+                              remainingDeadlineMilliseconds(), pieces_[next_unconfirmed_]});
+}
+
 void CallerFlow::deliverInOrder() {
   auto piece = answers_ahead_.find(next_answer_piece_);
   while (piece != answers_ahead_.end()) {
--- a/src/client/caller_flow.h
+++ b/src/client/caller_flow.h
@@ -32,6 +32,9 @@
   /** Pieces of the request that may be on the way unconfirmed. */
   std::uint32_t window = 16;
   Duration keepalive_interval = milliseconds(500);
+  /** After this long without any datagram the caller probes, since single ways may be cut. */
+  Duration probe_after = milliseconds(800);
+  Duration probe_interval = milliseconds(100);
   /** Without any datagram for this long an established flow counts as lost. */
   Duration idle_timeout = seconds(3);
   /** Without a placement for this long the caller gives up opening. */
@@ -124,6 +127,12 @@
   /** Sends the pieces of the window that were not sent since the last resend. */
   void sendWindow();
   void sendAnswerAck();
+
+  /** Does not take the time for which this process stood still for silence of the back end. */
+  void noteOwnPause(MonotonicTime now);
+
+  /** Sends one datagram that the back end answers: the first unconfirmed piece or a keepalive. */
+  void sendProbe();
   void deliverInOrder();
   void onAttemptBroken(Reason reason, Duration retry_after);
 
@@ -157,6 +166,8 @@
   bool established_ = false;
   MonotonicTime next_resend_at_;
   MonotonicTime next_keepalive_at_;
+  MonotonicTime next_probe_at_;
+  MonotonicTime last_tick_at_;
   MonotonicTime retry_at_;
   Duration resend_interval_{};
   std::uint32_t attempts_ = 0;
--- a/src/sim/baseline_router.cc
+++ b/src/sim/baseline_router.cc
@@ -95,8 +95,9 @@
 
   void onBackendRefusal(const BackendRefusal& refusal) {
     if (refusal.not_run) {
-      sender_.sendDatagram(refusal.caller,
-                           Refused{refusal.key, refusal.reason, refusal.retry_after_ms, {}});
+      sender_.sendDatagram(
+          refusal.caller,
+          Refused{refusal.key, refusal.reason, refusal.retry_after_ms, {}, RefusalScope::Attempt});
     } else {
       sender_.sendDatagram(refusal.caller,
                            Reset{refusal.key, refusal.reason, refusal.retry_after_ms});
--- a/src/sim/call_generator.cc
+++ b/src/sim/call_generator.cc
@@ -16,9 +16,7 @@
 }  // namespace
 
 CallGenerator::CallGenerator(const Scenario& scenario, Fleet& fleet)
-    : scenario_(scenario),
-      fleet_(fleet),
-      process_(fleet.queue(), "callers", kCallerZone, Duration::zero()) {
+    : scenario_(scenario), fleet_(fleet), process_(fleet.callers()) {
   fleet_.network().attachDatagrams(
       kCallerAddress, process_,
       [this](std::span<const std::uint8_t> bytes, Endpoint) { onDatagram(bytes); });
@@ -34,7 +32,7 @@
     }
   });
   fleet_.queue().repeat(kTickInterval, [this] {
-    tick();
+    process_.run([this] { tick(); });
     return true;
   });
 }
@@ -60,7 +58,7 @@
     return;
   }
   fleet_.queue().scheduleAfter(wait, [this, &mix] {
-    beginCall(mix);
+    process_.run([this, &mix] { beginCall(mix); });
     scheduleNextCall(mix);
   });
 }
@@ -74,7 +72,7 @@
       return false;
     }
     for (std::uint32_t index = 0; index < mix.burst_size; ++index) {
-      beginCall(mix);
+      process_.run([this, &mix] { beginCall(mix); });
     }
     return true;
   });
--- a/src/sim/call_generator.h
+++ b/src/sim/call_generator.h
@@ -43,7 +43,7 @@
 
   const Scenario& scenario_;
   Fleet& fleet_;
-  SimulatedProcess process_;
+  SimulatedProcess& process_;
   MonotonicTime ends_at_;
   std::map<FlowId, ActiveCall> calls_;
   std::set<FlowKey> placements_seen_;
--- a/src/sim/fault_injector.cc
+++ b/src/sim/fault_injector.cc
@@ -11,6 +11,8 @@
 constexpr Duration kLongestHarmlessPause = seconds(2);
 /** After a restart, placements of balancers that did not notice it look as if made before it. */
 constexpr Duration kRestartDoubt = seconds(1);
+/** Time after a start in which a back end reports that it is not ready. */
+constexpr Duration kReadyTime = 2 * BackendModelSettings().clock_skew;
 constexpr Duration kColdStartTime = seconds(10);
 constexpr Duration kRaceTime = seconds(2);
 
@@ -90,14 +92,16 @@
 void FaultInjector::pause(const Fault& fault) {
   SimulatedNode* balancer = fleet_.balancer(fault.target);
   SimulatedBackend* backend = fleet_.backend(fault.target);
-  SimulatedProcess& process = balancer != nullptr ? balancer->process() : backend->process();
+  SimulatedProcess& process = backend != nullptr    ? backend->process()
+                              : balancer != nullptr ? balancer->process()
+                                                    : fleet_.callers();
   if (!process.isRunning() || process.isPaused()) {
     return;
   }
   const MonotonicTime now = fleet_.queue().now();
   if (balancer != nullptr) {
     fleet_.observations().node_pauses.emplace(fault.target, Interval{now, now + fault.duration});
-  } else if (fault.duration > kLongestHarmlessPause) {
+  } else if (backend != nullptr && fault.duration > kLongestHarmlessPause) {
     recordOutage(backend->declared().id, fault.duration);
   }
   process.pause();
@@ -336,8 +340,11 @@
     if (!backend.process().isRunning()) {
       backend.start(Duration::zero());
     }
-    endDrain(backend);
-    done();
+    // Operators put a back end into service again once it reports that it is ready.
+    fleet_.queue().scheduleAfter(kReadyTime, [this, &backend, done] {
+      endDrain(backend);
+      done();
+    });
   });
 }
 
@@ -374,7 +381,8 @@
 
 void FaultInjector::recordOutage(BackendId backend, Duration duration) {
   const MonotonicTime now = fleet_.queue().now();
-  const MonotonicTime until = duration == Duration::zero() ? MonotonicTime::max() : now + duration;
+  const bool for_good = duration == Duration::zero();
+  const MonotonicTime until = for_good ? MonotonicTime::max() : now + duration + kRestartDoubt;
   fleet_.observations().unplanned_outages.emplace(backend, Interval{now, until});
 }
 
--- a/src/sim/fault_table.cc
+++ b/src/sim/fault_table.cc
@@ -36,9 +36,11 @@
   machines.insert(machines.end(), backends.begin(), backends.end());
   switch (kind) {
     case FaultKind::Kill:
-    case FaultKind::Pause:
     case FaultKind::PlannedStop:
       return machines;
+    case FaultKind::Pause:
+      machines.emplace_back("callers");
+      return machines;
     case FaultKind::HoldOutput:
       return balancers;
     case FaultKind::Cut:
--- a/src/sim/fleet.cc
+++ b/src/sim/fleet.cc
@@ -32,12 +32,13 @@
       network_(queue_, *random_, scenario.links),
       platform_(queue_, network_, *random_),
       fabric_(*random_, scenario.health_lag),
+      callers_(queue_, "callers", kCallerZone, Duration::zero()),
       view_(viewOf(scenario.configuration)) {
   const std::vector<std::string> zones = zoneNames();
   for (std::uint32_t replica = 0; replica < scenario.platform_replicas; ++replica) {
     platform_.add(zones[replica % zones.size()], scenario.configuration);
   }
-  addBackends();
+  addBackends(options);
   addBalancers(scenario, options);
 }
 
@@ -149,6 +150,7 @@
     settings.zone = name.substr(0, name.find("-balancer-"));
     settings.peer_address = {host, kPeerPort};
     settings.placement_policy = options.placement_policy;
+    settings.flow.placement_lifetime = options.placement_lifetime;
     SimulatedProcess& process = addProcess(name, settings.zone);
     balancers_.push_back(std::make_unique<SimulatedNode>(settings, Endpoint{host, kDataPort},
                                                          process, network_, surroundings, log_,
@@ -156,11 +158,12 @@
   }
 }
 
-void Fleet::addBackends() {
+void Fleet::addBackends(const FleetOptions& options) {
   for (const Backend& declared : view_->document().backends) {
     SimulatedProcess& process = addProcess(declared.name, view_->zone(declared.zone)->name);
     backends_.push_back(
         std::make_unique<SimulatedBackend>(declared, queue_, process, network_, observations_));
+    backends_.back()->setPlacementLifetime(options.placement_lifetime);
     backends_by_id_[declared.id] = backends_.back().get();
   }
 }
--- a/src/sim/fleet.h
+++ b/src/sim/fleet.h
@@ -16,6 +16,8 @@
   RouterKind router = RouterKind::Token;
   std::string placement_policy = "power_of_two";
   std::uint64_t seed = 1;
+  /** Time in which a placement may start work; tests make it long to show what it is for. */
+  Duration placement_lifetime = BackendModelSettings().placement_lifetime;
 };
 
 /** All machines of a scenario: balancers, back ends, platform and fabric, and their network. */
@@ -30,6 +32,8 @@
   SimulatedNetwork& network() { return network_; }
   RandomGenerator& random() { return *random_; }
   FabricModel& fabric() { return fabric_; }
+  /** @return the process that all callers share. */
+  SimulatedProcess& callers() { return callers_; }
   PlatformReplicas& platform() { return platform_; }
   Observations& observations() { return observations_; }
 
@@ -60,7 +64,7 @@
 
  private:
   void addBalancers(const Scenario& scenario, const FleetOptions& options);
-  void addBackends();
+  void addBackends(const FleetOptions& options);
   SimulatedProcess& addProcess(const std::string& name, const std::string& zone);
   Duration randomSkew();
   void updateMachineList();
@@ -82,6 +86,7 @@
   SimulatedNetwork network_;
   PlatformReplicas platform_;
   FabricModel fabric_;
+  SimulatedProcess callers_;
   NullEventLog log_;
   ConfigurationViewPtr view_;
   std::vector<std::unique_ptr<SimulatedProcess>> processes_;
--- a/src/sim/simulated_backend.cc
+++ b/src/sim/simulated_backend.cc
@@ -33,6 +33,7 @@
   settings.slots = declared_.slots;
   settings.connections = declared_.connections;
   settings.cold_start = cold_start;
+  settings.placement_lifetime = placement_lifetime_;
   DatagramSender& sender = *this;
   model_ = std::make_unique<BackendModel>(settings, process_.timeSource(), sender);
   model_->setDraining(draining_);
--- a/src/sim/simulated_backend.h
+++ b/src/sim/simulated_backend.h
@@ -21,6 +21,9 @@
   /** Tells the back end to drain, or to take work again; also holds for its next life. */
   void setDraining(bool draining);
 
+  /** Sets the time in which a placement may start work, from the next start on. */
+  void setPlacementLifetime(Duration lifetime) { placement_lifetime_ = lifetime; }
+
   /** @return the model of this life; nullptr while the process is dead. */
   BackendModel* model() { return model_.get(); }
   SimulatedProcess& process() { return process_; }
@@ -39,6 +42,7 @@
   std::unique_ptr<BackendModel> model_;
   std::size_t runs_recorded_ = 0;
   bool draining_ = false;
+  Duration placement_lifetime_ = BackendModelSettings().placement_lifetime;
 };
 
 }  // namespace lugfork
--- a/tests/client/caller_flow_test.cc
+++ b/tests/client/caller_flow_test.cc
@@ -226,6 +226,43 @@
   CHECK(call.flow.retryAfter() > Duration::zero());
 }
 
+TEST_CASE("no keepalive goes out before the back end knows the flow") {
+  CallHarness call;
+  call.placed();
+  call.pass(milliseconds(600));
+  CHECK(call.count<AnswerAck>() == 0);
+  call.flow.onDatagram(DataAck{{kFlow, 0}, 1});
+  call.pass(milliseconds(1));
+  CHECK(call.count<AnswerAck>() == 1);
+}
+
+TEST_CASE("a silent flow is probed often before it counts as lost") {
+  for (const bool confirmed : {false, true}) {
+    CallHarness call;
+    call.placed();
+    if (confirmed) {
+      call.flow.onDatagram(DataAck{{kFlow, 0}, 1});
+    }
+    for (int tick = 0; tick < 29; ++tick) {
+      call.pass(milliseconds(100));
+    }
+    CHECK((confirmed ? call.count<AnswerAck>() : call.count<Data>()) >= 20);
+    CHECK_FALSE(call.flow.result());
+    call.pass(milliseconds(100));
+    CHECK(call.flow.result() == CallResult::Unknown);
+  }
+}
+
+TEST_CASE("a caller that stood still itself does not take its flow for lost") {
+  CallHarness call;
+  call.placed();
+  call.pass(milliseconds(100));
+  call.pass(seconds(8));
+  CHECK_FALSE(call.flow.result());
+  call.answer(0, true);
+  CHECK(call.flow.result() == CallResult::Whole);
+}
+
 TEST_CASE("cancellation and the deadline tell the back end, and never change a result") {
   CallHarness cancelled;
   cancelled.placed();
