--- a/src/runtime/peer_gate.cc
+++ b/src/runtime/peer_gate.cc
@@ -15,16 +15,10 @@
                                ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL |
                                ZMQ_EVENT_HANDSHAKE_FAILED_AUTH;
 
-/** Positions of the frames of an authentication request (ZAP). */
-enum RequestFrame : std::size_t {
-  kVersion,
-  kRequestId,
-  kDomain,
-  kAddress,
-  kIdentity,
-  kMechanism,
-  kKey
-};
+/** Positions of frames in an authentication request (ZAP). */
+constexpr std::size_t kRequestIdFrame = 1;
+constexpr std::size_t kMechanismFrame = 5;
+constexpr std::size_t kKeyFrame = 6;
 
 std::string binaryKey(const std::string& text) {
   std::string key(kKeyBytes, '\0');
@@ -81,10 +75,12 @@
 }
 
 void PeerGate::onAuthenticationRequest(const ZmqReader::Frames& request) {
-  const bool allowed = request.size() > kKey && request[kMechanism].to_string_view() == "CURVE" &&
-                       allowed_.contains(request[kKey].to_string());
-  const std::string_view id =
-      request.size() > kRequestId ? request[kRequestId].to_string_view() : std::string_view();
+  const bool allowed = request.size() > kKeyFrame &&
+                       request[kMechanismFrame].to_string_view() == "CURVE" &&
+                       allowed_.contains(request[kKeyFrame].to_string());
+  const std::string_view id = request.size() > kRequestIdFrame
+                                  ? request[kRequestIdFrame].to_string_view()
+                                  : std::string_view();
   const std::array<std::string_view, 5> reply_head = {kProtocolVersion, id, allowed ? "200" : "400",
                                                       allowed ? "OK" : "key not allowed", ""};
   for (const std::string_view part : reply_head) {
--- a/src/runtime/simulation_page.cc
+++ b/src/runtime/simulation_page.cc
@@ -102,7 +102,8 @@
     html << "<th>" << escape(result.label) << "</th>";
   }
   html << "</tr>\n";
-  for (const auto& [name, ignored] : results.front().fields) {
+  for (const auto& field_of_first : results.front().fields) {
+    const std::string& name = field_of_first.first;
     html << "<tr><td>" << escape(name) << "</td>";
     for (const SimulationResult& result : results) {
       const auto field = std::find_if(result.fields.begin(), result.fields.end(),
--- a/src/runtime/zmq_reader.cc
+++ b/src/runtime/zmq_reader.cc
@@ -31,17 +31,19 @@
 
 void ZmqReader::receiveMessages() {
   // The descriptor signals only changes, so everything that is there must be read.
-  zmq::message_t frame;
-  while (socket_.recv(frame, zmq::recv_flags::dontwait)) {
+  while (true) {
+    zmq::message_t first;
+    if (!socket_.recv(first, zmq::recv_flags::dontwait)) {
+      return;
+    }
     Frames frames;
-    frames.push_back(std::move(frame));
+    frames.push_back(std::move(first));
     while (frames.back().more()) {
       zmq::message_t next;
       static_cast<void>(socket_.recv(next, zmq::recv_flags::none));
       frames.push_back(std::move(next));
     }
     handler_(frames);
-    frame.rebuild();
   }
 }
 
--- a/tests/config/toml_settings_test.cc
+++ b/tests/config/toml_settings_test.cc
@@ -35,6 +35,7 @@
   std::vector<std::string> arguments = {"program", "--settings", file};
   arguments.insert(arguments.end(), flags.begin(), flags.end());
   std::vector<char*> argv;
+  argv.reserve(arguments.size());
   for (std::string& argument : arguments) {
     argv.push_back(argument.data());
   }
--- a/tests/process/api_documentation_test.cc
+++ b/tests/process/api_documentation_test.cc
@@ -61,7 +61,7 @@
     for (const auto& [name, value] : documented.items()) {
       INFO(name);
       REQUIRE(actual.contains(name));
-      checkShape(value, actual[name], path + "/" + name);
+      checkShape(value, actual[name], std::string(path).append("/").append(name));
     }
   } else if (documented.is_array()) {
     REQUIRE(actual.is_array());
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -22,8 +22,6 @@
 #include "runtime/http_client.h"
 #include "runtime/peer_security.h"
 
-extern char** environ;
-
 /** A small fleet as processes on loopback, for tests: the programs as an operator starts them. */
 namespace lugfork::test {
 
@@ -49,6 +47,7 @@
     posix_spawn_file_actions_addopen(&actions, 1, output_file_.c_str(), flags | O_TRUNC, 0600);
     posix_spawn_file_actions_addopen(&actions, 2, (output_base + ".log").c_str(), flags, 0600);
     std::vector<char*> argv;
+    argv.reserve(command.size() + 1);
     for (const std::string& argument : command) {
       argv.push_back(const_cast<char*>(argument.c_str()));
     }
