Hear the peers before a started node takes the platform's first document

Cause: a started node put the platform's document in force at once. A replica of the platform that is stale gave it a version that its own earlier life had left, before any peer could answer. Ruled out: holding placement alone (the join did that already): the older document was still in force for relaying and in the status. Change: the first document waits until enough peers have answered, or none is listed, or the join's limit has passed; a document older than what a peer has shown waits for that peer's until the limit.

--- a/src/balancer/node.cc
+++ b/src/balancer/node.cc
@@ -1,6 +1,7 @@
 #include "balancer/node.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lugfork {
 
@@ -76,8 +77,29 @@
 }
 
 void Node::onPlatformConfiguration(const std::string& json_text) {
-  configuration_.onPlatformDocument(json_text);
   join_.onPlatformConfiguration();
+  if (store_.inForce() != nullptr) {
+    takePlatformDocument(json_text);
+    return;
+  }
+  // A replica of the platform may be stale: peers that know better are heard first.
+  const auto parsed = parseConfigurationDocument(json_text);
+  first_document_ = json_text;
+  first_document_version_ = parsed ? parsed.value().version : ConfigVersion();
+  takeFirstDocument();
+}
+
+void Node::takeFirstDocument() {
+  const bool peers_may_know_better =
+      store_.inForce() == nullptr && !join_.mayTakeFromPlatform(first_document_version_);
+  if (first_document_.empty() || peers_may_know_better) {
+    return;
+  }
+  takePlatformDocument(std::exchange(first_document_, std::string()));
+}
+
+void Node::takePlatformDocument(const std::string& json_text) {
+  configuration_.onPlatformDocument(json_text);
   const MonotonicTime requested_at = platform_requested_at_;
   platform_requested_at_ = MonotonicTime();
   if (requested_at != MonotonicTime() && configuration_.platformIsCurrent()) {
@@ -111,6 +133,7 @@
   }
   membership_.onTick();
   configuration_.onTick(membership_.liveCount() + 1);
+  takeFirstDocument();
   join_.onTick();
   confirmView(now);
   pushNews();
--- a/src/balancer/node.h
+++ b/src/balancer/node.h
@@ -150,6 +150,10 @@
   bool isSmallFleet() const;
 
   void confirmView(MonotonicTime now);
+
+  /** Takes the platform's first document once no peer can be expected to know a newer one. */
+  void takeFirstDocument();
+  void takePlatformDocument(const std::string& json_text);
   void pushNews();
   void spreadLoad(MonotonicTime now);
   void requestObservations(MonotonicTime now);
@@ -169,6 +173,9 @@
   ConfigurationSpread configuration_;
   ViewLease lease_;
   JoinController join_;
+  /** The platform's document, until it is clear that no peer knows a newer one. */
+  std::string first_document_;
+  ConfigVersion first_document_version_;
   ProbeSchedule probes_;
   LoadSpread load_spread_;
   ControlBudget budget_;
--- a/src/cluster/join_controller.cc
+++ b/src/cluster/join_controller.cc
@@ -20,31 +20,43 @@
   listed_peers_ = listed_peers;
 }
 
+bool JoinController::mayTakeFromPlatform(ConfigVersion version) const {
+  if (waited() >= settings_.limit) {
+    return true;
+  }
+  return version >= highest_seen_ && enoughPeersAnswered();
+}
+
 void JoinController::onTick() {
   if (state_ == JoinState::Joined) {
     return;
   }
-  const Duration waited = time_source_.monotonicTime() - started_at_;
-  if (isSettled(waited)) {
+  if (isSettled()) {
     state_ = JoinState::Joined;
     answered_.clear();
-  } else if (waited >= settings_.limit && version_ != ConfigVersion()) {
+  } else if (waited() >= settings_.limit && version_ != ConfigVersion()) {
     state_ = JoinState::Degraded;
   }
 }
 
-bool JoinController::isSettled(Duration waited) const {
+bool JoinController::enoughPeersAnswered() const {
+  if (answered_.size() >= settings_.peers_needed) {
+    return true;
+  }
+  if (list_known_ && answered_.size() >= listed_peers_) {
+    return true;
+  }
+  return !answered_.empty() && waited() >= settings_.grace;
+}
+
+bool JoinController::isSettled() const {
   if (version_ == ConfigVersion() || version_ < highest_seen_) {
     return false;
   }
   if (answered_.size() >= settings_.peers_needed) {
     return true;
   }
-  const bool all_listed_answered = list_known_ && answered_.size() >= listed_peers_;
-  if (platform_answered_ && all_listed_answered) {
-    return true;
-  }
-  return platform_answered_ && !answered_.empty() && waited >= settings_.grace;
+  return platform_answered_ && enoughPeersAnswered();
 }
 
 const char* toString(JoinState state) {
--- a/src/cluster/join_controller.h
+++ b/src/cluster/join_controller.h
@@ -42,13 +42,21 @@
 
   void onConfiguration(ConfigVersion version) { version_ = version; }
 
+  /**
+   * @return true if a first document of that version may be taken from the platform: peers that
+   * could know a newer one have answered, or the wait is over.
+   */
+  bool mayTakeFromPlatform(ConfigVersion version) const;
+
   /** Re-evaluates the state; to be called from the node's tick. */
   void onTick();
 
   JoinState state() const { return state_; }
 
  private:
-  bool isSettled(Duration waited) const;
+  Duration waited() const { return time_source_.monotonicTime() - started_at_; }
+  bool enoughPeersAnswered() const;
+  bool isSettled() const;
 
   const JoinSettings settings_;
   const TimeSource& time_source_;
