--- a/src/balancer/node.cc
+++ b/src/balancer/node.cc
@@ -7,7 +7,7 @@
 namespace {
 
 /** Up to this many members every report goes to every node. */
-constexpr std::size_t kSmallFleet = 12;
+constexpr std::size_t kSmallFleet = 32;
 /** Most bytes of load in one message. */
 constexpr std::size_t kMaxLoadBytes = 1000;
 /** Bytes of changes of state that any gossip may carry, also on an overdrawn budget. */
