Give each run of the settings test a file of its own

Cause: ctest runs the cases as processes, several at a time, and all wrote the same file; one case then read another's text (failed once in a run with -j 3). Change: the process id is in the name.

--- a/tests/config/toml_settings_test.cc
+++ b/tests/config/toml_settings_test.cc
@@ -1,5 +1,7 @@
 #include "config/toml_settings.h"
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
@@ -19,10 +21,12 @@
   std::string level = "info";
 };
 
+/** Each test runs as a process of its own, several at a time. */
+const std::string kFile = "toml_settings_test." + std::to_string(::getpid()) + ".toml";
+
 /** Writes the settings file, runs a program with the kinds of flags that lugforkd has. */
 Outcome runWith(const std::string& settings, std::vector<std::string> flags = {},
-                const std::string& file = "toml_settings_test.toml") {
-  static const std::string kFile = "toml_settings_test.toml";
+                const std::string& file = kFile) {
   std::ofstream(kFile) << settings;
   Outcome outcome;
   CLI::App app("a program", "program");
@@ -92,7 +96,7 @@
     const Outcome outcome = runWith(row.settings);
     INFO(row.name << ": " << outcome.error);
     CHECK(outcome.exit_code == kExitUsage);
-    CHECK(outcome.error.find("toml_settings_test.toml") != std::string::npos);
+    CHECK(outcome.error.find(kFile) != std::string::npos);
     for (const std::string& part : row.error_parts) {
       INFO(part);
       CHECK(outcome.error.find(part) != std::string::npos);
