Believe that a back end is leaving until it takes that back

Cause: the word that a back end is leaving, or unreachable, aged out with the load after 10 s, so new work could go to a drained back end whose reports no longer came; and one failed probe, whose uptime reads 0, looked like a restart and undid the word. Ruled out: more frequent reports outside the zone, which the byte budget does not allow. Change: leaving holds until a report that got an answer denies it 10 s later or shows a restart; unreachable holds for 120 s, twice the interval of the exchange of states between nodes. Conclusion: a back end that is put back into service gets new work after up to 10 s more.

--- a/src/flow/backend_load_table.cc
+++ b/src/flow/backend_load_table.cc
@@ -47,9 +47,9 @@
   if (entry.has_report && report.measured_at_ms <= entry.report.measured_at_ms) {
     return false;
   }
-  const bool restarted = entry.has_report && report.uptime_ms < entry.report.uptime_ms;
-  if (restarted) {
-    entry.draining_seen = false;
+  const bool restarted = report.reachable && report.uptime_ms < entry.last_uptime_ms;
+  if (report.reachable) {
+    updateLeaving(entry, report);
   }
   const MonotonicTime now = time_source_.monotonicTime();
   // Placed while the report was on its way: not in its numbers yet.
@@ -82,7 +82,7 @@
 }
 
 void BackendLoadTable::onDrainingSeen(BackendId backend) {
-  entries_[backend].draining_seen = true;
+  entries_[backend].leaving_since_ms = toUnixMilliseconds(time_source_.systemTime());
 }
 
 void BackendLoadTable::refreshService(ServiceId service, std::span<const Backend* const> backends) {
@@ -140,7 +140,8 @@
   if (entry == nullptr) {
     return false;
   }
-  return entry->draining_seen || (reportIsCurrent(*entry) && entry->report.draining);
+  // Unlike load, this does not age: only the back end itself takes it back.
+  return entry->leaving_since_ms != 0;
 }
 
 bool BackendLoadTable::acceptsNewWork(const Backend& backend) const {
@@ -152,7 +153,7 @@
 
 bool BackendLoadTable::looksReachable(const Backend& backend) const {
   const Entry* entry = find(backend.id);
-  return entry == nullptr || !reportIsCurrent(*entry) || entry->report.reachable;
+  return entry == nullptr || !stateIsCurrent(*entry) || entry->report.reachable;
 }
 
 bool BackendLoadTable::isFull(const Backend& backend, double full_load) const {
@@ -224,6 +225,24 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+void BackendLoadTable::updateLeaving(Entry& entry, const BackendReport& report) {
+  const bool restarted = report.uptime_ms < entry.last_uptime_ms;
+  const auto hold_ms = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(settings_.leaving_hold).count());
+  const bool hold_passed = report.measured_at_ms >= entry.leaving_since_ms + hold_ms;
+  entry.last_uptime_ms = report.uptime_ms;
+  if (report.draining) {
+    entry.leaving_since_ms = report.measured_at_ms;
+  } else if (restarted || hold_passed) {
+    entry.leaving_since_ms = 0;
+  }
+}
+
+bool BackendLoadTable::stateIsCurrent(const Entry& entry) const {
+  const Duration age = time_source_.monotonicTime() - entry.report_received_at;
+  return entry.has_report && age < settings_.state_lifetime;
+}
+
 bool BackendLoadTable::reportIsCurrent(const Entry& entry) const {
   return reportWeight(entry) > 0;
 }
--- a/src/flow/backend_load_table.h
+++ b/src/flow/backend_load_table.h
@@ -13,6 +13,10 @@
 struct LoadEstimateSettings {
   /** Age at which a report says nothing any more; its weight falls smoothly until then. */
   Duration report_lifetime = seconds(10);
+  /** Age at which a report of an unreachable back end is no longer believed. */
+  Duration state_lifetime = seconds(120);
+  /** A back end's word that it is leaving holds this long against reports that deny it. */
+  Duration leaving_hold = seconds(10);
   /** A back end younger than this gets a rising share of new flows. */
   Duration slow_start = seconds(10);
   /** Share that a back end gets right after its start. */
@@ -107,7 +111,10 @@
     double placed = 0;
     MonotonicTime placed_at;
     ServiceId service;
-    bool draining_seen = false;
+    /** The back end said that it is leaving; wall-clock time of that word, 0 for none [ms]. */
+    std::uint64_t leaving_since_ms = 0;
+    /** Uptime in the last report that got an answer. */
+    std::uint32_t last_uptime_ms = 0;
     MonotonicTime no_new_work_until;
   };
 
@@ -123,7 +130,10 @@
 
   const Entry* find(BackendId backend) const;
   const ServiceLoad* findService(ServiceId service) const;
+  /** Takes what a report that got an answer says about leaving and restarts. */
+  void updateLeaving(Entry& entry, const BackendReport& report);
   bool reportIsCurrent(const Entry& entry) const;
+  bool stateIsCurrent(const Entry& entry) const;
 
   /** @return how far the report is believed, from 1 (new) to 0 (at the end of its lifetime). */
   double reportWeight(const Entry& entry) const;
--- a/tests/flow/placement_engine_test.cc
+++ b/tests/flow/placement_engine_test.cc
@@ -45,6 +45,12 @@
     loads.onReport(report);
   }
 
+  void reportLeaving(std::uint32_t id) {
+    BackendReport report{BackendId(id), true, true, 0, 0, 0, 1000000, 0};
+    report.measured_at_ms = toUnixMilliseconds(time.systemTime());
+    loads.onReport(report);
+  }
+
   Result<const Backend*, PlacementRefusal> place() {
     return engine.place(service(), FlowId{1, ++flows});
   }
@@ -127,6 +133,36 @@
   CHECK(harness.placeMany(1000).count(0) == 0);
 }
 
+TEST_CASE("that a back end is leaving or down is believed for longer than its load") {
+  PlacementHarness harness(5);
+  harness.reportLeaving(1);
+  harness.reportUnreachable(2);
+  harness.time.elapsed += seconds(60);
+  const auto placements = harness.placeMany(100);
+  CHECK(placements.count(1) == 0);
+  CHECK(placements.count(2) == 0);
+}
+
+TEST_CASE("a failed probe does not undo a back end's word that it is leaving") {
+  PlacementHarness harness(2);
+  harness.reportLeaving(1);
+  harness.time.elapsed += seconds(1);
+  harness.reportUnreachable(1);
+  harness.time.elapsed += seconds(200);
+  CHECK(harness.placeMany(100).count(1) == 0);
+}
+
+TEST_CASE("a back end that takes its leaving back gets new work again after the hold") {
+  PlacementHarness harness(2);
+  harness.reportLeaving(1);
+  harness.time.elapsed += seconds(1);
+  harness.report(1, 0);
+  CHECK(harness.placeMany(10).count(1) == 0);
+  harness.time.elapsed += seconds(10);
+  harness.report(1, 0);
+  CHECK(harness.placeMany(100).count(1) == 1);
+}
+
 TEST_CASE("a report's weight falls smoothly with its age, towards what the others have") {
   PlacementHarness harness(2);
   harness.report(1, 2);
