Copy byte fields of messages at once

Cause: the decoder assigned bytes from a pointer of another type, which copies them one at a time; found with perf by the work on the data path. Change: the pointer has the type of the vector's elements.

--- a/src/wire/message_codec.h
+++ b/src/wire/message_codec.h
@@ -138,7 +138,8 @@
     if (object.type != msgpack::type::BIN) {
       return false;
     }
-    value.assign(object.via.bin.ptr, object.via.bin.ptr + object.via.bin.size);
+    const auto* first = reinterpret_cast<const std::uint8_t*>(object.via.bin.ptr);
+    value.assign(first, first + object.via.bin.size);
     return true;
   } else if constexpr (IsByteArray<T>::value) {
     if (object.type != msgpack::type::BIN || object.via.bin.size != value.size()) {
