--- a/src/balancer/node.cc
+++ b/src/balancer/node.cc
@@ -28,6 +28,8 @@
 /** Anti-entropy of the states of back ends: for a node that joined or missed the gossip. */
 constexpr Duration kObservationsInterval = seconds(60);
 constexpr std::uint32_t kMaxObservations = 1000;
+/** Shortest time between two reads of the platform that tokens prompt. */
+constexpr Duration kPromptedReadInterval = seconds(10);
 /** A read of the platform without an answer for this long is given up. */
 constexpr Duration kPlatformReadTimeout = seconds(10);
 
@@ -174,7 +176,12 @@
   if (!peers.empty()) {
     configuration_.request(peers.front().peer_address);
   }
-  configuration_.readPlatformSoon();
+  // Anybody can send a token with an unknown key: the platform is not read for each of them.
+  const MonotonicTime now = time_source_.monotonicTime();
+  if (now >= next_prompted_read_) {
+    next_prompted_read_ = now + kPromptedReadInterval;
+    configuration_.readPlatformSoon();
+  }
 }
 
 void Node::onBackendDraining(BackendId backend) {
--- a/src/balancer/node.h
+++ b/src/balancer/node.h
@@ -176,6 +176,7 @@
   /** The platform's document, until it is clear that no peer knows a newer one. */
   std::string first_document_;
   ConfigVersion first_document_version_;
+  MonotonicTime next_prompted_read_;
   ProbeSchedule probes_;
   LoadSpread load_spread_;
   ControlBudget budget_;
--- a/tests/sim/promise_tables_test.cc
+++ b/tests/sim/promise_tables_test.cc
@@ -92,7 +92,8 @@
 
 TEST_CASE("a configuration is in force everywhere within seconds and never reverts") {
   const Scenario scenario = test::loadScenario("radio");
-  const PromiseReport report = test::runTable(scenario, "configuration", {}, kSeeds);
+  // Seed 2 and seven others of the first 40 went back before a started node heard its peers first.
+  const PromiseReport report = test::runTable(scenario, "configuration", {}, 4 * kSeeds);
   CHECK(report.config_reverts == 0);
   CHECK(report.config_spread_ms_max <= 5000);
   CHECK(report.holds());
