Let a report take back leaving at once; mend the linter's findings

Cause: a back end that has just started reports that it takes nothing new for 1 s, as "draining". Change: the hold counts only for refusals on the data path; a report follows the last report.

--- a/src/balancer/node.cc
+++ b/src/balancer/node.cc
@@ -53,7 +53,6 @@
            NodeOutputs& outputs, EventLog& log)
     : settings_(std::move(settings)),
       time_source_(time_source),
-      random_(random),
       outputs_(outputs),
       log_(log),
       store_(settings_.shared_configurations),
--- a/src/balancer/node.h
+++ b/src/balancer/node.h
@@ -162,7 +162,6 @@
 
   const NodeSettings settings_;
   const TimeSource& time_source_;
-  RandomGenerator& random_;
   NodeOutputs& outputs_;
   EventLog& log_;
   ConfigurationStore store_;
--- a/src/cluster/membership.cc
+++ b/src/cluster/membership.cc
@@ -183,7 +183,7 @@
 std::vector<MemberRecord> Membership::randomLive(std::size_t count, const std::string& zone) {
   std::vector<MemberRecord> chosen;
   const std::size_t size = members_.size();
-  const auto takeIfWanted = [&](const MemberRecord& member) {
+  const auto take_if_wanted = [&](const MemberRecord& member) {
     const bool wanted = isLive(member) && (zone.empty() || member.zone == zone);
     if (wanted && std::find(chosen.begin(), chosen.end(), member) == chosen.end()) {
       chosen.push_back(member);
@@ -191,11 +191,11 @@
   };
   const std::size_t draws = size > kDrawsPerMember * count ? kDrawsPerMember * count : 0;
   for (std::size_t draw = 0; draw < draws && chosen.size() < count; ++draw) {
-    takeIfWanted(members_[random_.below(size)]);
+    take_if_wanted(members_[random_.below(size)]);
   }
   const std::size_t start = random_.below(size);
   for (std::size_t step = 0; step < size && chosen.size() < count; ++step) {
-    takeIfWanted(members_[(start + step) % size]);
+    take_if_wanted(members_[(start + step) % size]);
   }
   return chosen;
 }
--- a/src/config/configuration_delta.cc
+++ b/src/config/configuration_delta.cc
@@ -297,16 +297,16 @@
                                                    const ConfigurationDelta& delta) {
   Configuration result = base == nullptr ? Configuration() : base->document();
   std::uint64_t digest = base_digest;
-  const auto forgetOld = [&](ResourceKey key) {
+  const auto forget_old = [&](ResourceKey key) {
     const auto old = base == nullptr ? std::nullopt : encodeResource(*base, key);
     digest -= old ? resourceDigest(*old) : 0;
   };
   for (const ResourceKey key : delta.removed) {
-    forgetOld(key);
+    forget_old(key);
     removeRecord(result, key);
   }
   for (const ResourceRecord& record : delta.changed) {
-    forgetOld(record.key);
+    forget_old(record.key);
     digest += resourceDigest(record);
     if (!putRecord(result, record)) {
       return DocumentProblems{{"", "a resource of the delta can't be decoded"}};
--- a/src/flow/backend_load_table.cc
+++ b/src/flow/backend_load_table.cc
@@ -82,7 +82,7 @@
 }
 
 void BackendLoadTable::onDrainingSeen(BackendId backend) {
-  entries_[backend].leaving_since_ms = toUnixMilliseconds(time_source_.systemTime());
+  entries_[backend].refused_as_leaving_ms = toUnixMilliseconds(time_source_.systemTime());
 }
 
 void BackendLoadTable::refreshService(ServiceId service, std::span<const Backend* const> backends) {
@@ -141,7 +141,7 @@
     return false;
   }
   // Unlike load, this does not age: only the back end itself takes it back.
-  return entry->leaving_since_ms != 0;
+  return entry->report_says_leaving || entry->refused_as_leaving_ms != 0;
 }
 
 bool BackendLoadTable::acceptsNewWork(const Backend& backend) const {
@@ -229,12 +229,11 @@
   const bool restarted = report.uptime_ms < entry.last_uptime_ms;
   const auto hold_ms = static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(settings_.leaving_hold).count());
-  const bool hold_passed = report.measured_at_ms >= entry.leaving_since_ms + hold_ms;
+  const bool hold_passed = report.measured_at_ms >= entry.refused_as_leaving_ms + hold_ms;
   entry.last_uptime_ms = report.uptime_ms;
-  if (report.draining) {
-    entry.leaving_since_ms = report.measured_at_ms;
-  } else if (restarted || hold_passed) {
-    entry.leaving_since_ms = 0;
+  entry.report_says_leaving = report.draining;
+  if (!report.draining && (restarted || hold_passed)) {
+    entry.refused_as_leaving_ms = 0;
   }
 }
 
--- a/src/flow/backend_load_table.h
+++ b/src/flow/backend_load_table.h
@@ -15,7 +15,7 @@
   Duration report_lifetime = seconds(10);
   /** Age at which a report of an unreachable back end is no longer believed. */
   Duration state_lifetime = seconds(120);
-  /** A back end's word that it is leaving holds this long against reports that deny it. */
+  /** A refusal because the back end leaves holds this long against reports that deny it. */
   Duration leaving_hold = seconds(10);
   /** A back end younger than this gets a rising share of new flows. */
   Duration slow_start = seconds(10);
@@ -111,8 +111,10 @@
     double placed = 0;
     MonotonicTime placed_at;
     ServiceId service;
-    /** The back end said that it is leaving; wall-clock time of that word, 0 for none [ms]. */
-    std::uint64_t leaving_since_ms = 0;
+    /** The last report that got an answer said that the back end takes nothing new. */
+    bool report_says_leaving = false;
+    /** The back end refused work because it leaves; wall-clock time of that, 0 for none [ms]. */
+    std::uint64_t refused_as_leaving_ms = 0;
     /** Uptime in the last report that got an answer. */
     std::uint32_t last_uptime_ms = 0;
     MonotonicTime no_new_work_until;
--- a/src/sim/fault_injector.cc
+++ b/src/sim/fault_injector.cc
@@ -286,7 +286,7 @@
 }
 
 void FaultInjector::stopBalancer(SimulatedNode& balancer, Duration down_time,
-                                 std::function<void()> done) {
+                                 const std::function<void()>& done) {
   if (!balancer.process().isRunning() || balancer.process().isPaused()) {
     done();
     return;
@@ -320,7 +320,7 @@
 
 void FaultInjector::stopWhenEmpty(SimulatedBackend& backend, std::uint64_t generation,
                                   std::size_t stop, Duration down_time,
-                                  std::function<void()> done) {
+                                  const std::function<void()>& done) {
   const bool same_life = backend.process().generation() == generation;
   const bool empty = backend.model() != nullptr && backend.model()->openFlows() == 0;
   // The drain has to be known everywhere before an empty back end stays empty.
--- a/src/sim/fault_injector.h
+++ b/src/sim/fault_injector.h
@@ -32,12 +32,12 @@
   void withdrawZone(const Fault& fault);
 
   /** Stops a balancer as an operator would, and starts it again. @param done runs after that. */
-  void stopBalancer(SimulatedNode& balancer, Duration down_time, std::function<void()> done);
+  void stopBalancer(SimulatedNode& balancer, Duration down_time, const std::function<void()>& done);
 
   /** Drains a back end, waits until it is empty, stops it and starts it again. */
   void stopBackend(SimulatedBackend& backend, Duration down_time, std::function<void()> done);
   void stopWhenEmpty(SimulatedBackend& backend, std::uint64_t generation, std::size_t stop,
-                     Duration down_time, std::function<void()> done);
+                     Duration down_time, const std::function<void()>& done);
   void restartOneAfterTheOther(std::vector<std::string> names, Duration down_time);
 
   void startDrain(SimulatedBackend& backend, bool told);
