Give each run of the scenario tests a file of its own

Cause: two cases wrote the same file; under ctest -j6 one read the other's (1 of 143 failed). Ruled out: a fault of the reader: both cases pass alone. Change: the file's name carries the process id, as in the settings tests.

--- a/tests/sim/scenario_test.cc
+++ b/tests/sim/scenario_test.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <fstream>
 
 #include "sim/sim_test_support.h"
@@ -8,7 +10,8 @@
 
 /** Writes a file beside the test program and gives its name. */
 std::string writeFile(const std::string& text) {
-  const std::string path = "scenario_test_input.toml";
+  // Cases run in processes of their own at the same time.
+  const std::string path = "scenario_test_input_" + std::to_string(getpid()) + ".toml";
   std::ofstream(path) << text;
   return path;
 }
