--- a/src/programs/sim_run.cc
+++ b/src/programs/sim_run.cc
@@ -12,7 +12,7 @@
 
 namespace {
 
-using json = nlohmann::ordered_json;
+using Json = nlohmann::ordered_json;
 
 constexpr std::size_t kMaxThreads = 4;
 constexpr std::uint64_t kMostSeeds = 100000;
@@ -30,7 +30,7 @@
   bool explain = false;
 };
 
-json toJson(const PromiseReport& report) {
+Json toJson(const PromiseReport& report) {
   return {{"seeds", report.seeds},
           {"flows", report.flows},
           {"broken_planned", report.broken_planned},
@@ -50,7 +50,7 @@
           {"refused_without_retry_after", report.refused_without_retry_after}};
 }
 
-void print(const json& report, const std::string& format) {
+void print(const Json& report, const std::string& format) {
   if (format == "json") {
     std::cout << report.dump() << "\n";
     return;
@@ -67,7 +67,7 @@
 
 void explainFaults(const std::vector<Fault>& faults) {
   for (const Fault& fault : faults) {
-    const json line = {{"fault", toString(fault.kind)},
+    const Json line = {{"fault", toString(fault.kind)},
                        {"at", std::chrono::duration<double>(fault.at).count()},
                        {"for", std::chrono::duration<double>(fault.duration).count()},
                        {"target", fault.target},
@@ -88,12 +88,12 @@
   }
   for (const CallRecord& call : observations.calls) {
     if (!call.result) {
-      std::cerr << json({{"never_ended", toString(call.flow)},
+      std::cerr << Json({{"never_ended", toString(call.flow)},
                          {"began", secondsSinceStart(call.began_at)}})
                 << "\n";
     }
     for (const BreakObservation& broken : call.breaks) {
-      const json line = {
+      const Json line = {
           {"break", toString(broken.key.flow)},     {"attempt", broken.key.attempt},
           {"kind", static_cast<int>(call.kind)},    {"began", secondsSinceStart(call.began_at)},
           {"at", secondsSinceStart(broken.at)},     {"reason", toString(broken.reason)},
@@ -154,7 +154,7 @@
   for (std::size_t index = 0; index < reports.size(); ++index) {
     total.add(reports[index]);
     if (settings.each_seed && !reports[index].holds()) {
-      json line = toJson(reports[index]);
+      Json line = toJson(reports[index]);
       line["seed"] = settings.first_seed + index;
       std::cerr << line.dump() << "\n";
     }
--- a/src/sim/fault_injector.cc
+++ b/src/sim/fault_injector.cc
@@ -311,11 +311,11 @@
 }
 
 void FaultInjector::stopBackend(SimulatedBackend& backend, Duration down_time,
-                                std::function<void()> done) {
+                                const std::function<void()>& done) {
   const std::size_t stop = fleet_.observations().planned_stops.size();
   fleet_.observations().planned_stops.push_back({fleet_.queue().now(), MonotonicTime::max()});
   startDrain(backend, true);
-  stopWhenEmpty(backend, backend.process().generation(), stop, down_time, std::move(done));
+  stopWhenEmpty(backend, backend.process().generation(), stop, down_time, done);
 }
 
 void FaultInjector::stopWhenEmpty(SimulatedBackend& backend, std::uint64_t generation,
--- a/src/sim/fault_injector.h
+++ b/src/sim/fault_injector.h
@@ -35,7 +35,8 @@
   void stopBalancer(SimulatedNode& balancer, Duration down_time, const std::function<void()>& done);
 
   /** Drains a back end, waits until it is empty, stops it and starts it again. */
-  void stopBackend(SimulatedBackend& backend, Duration down_time, std::function<void()> done);
+  void stopBackend(SimulatedBackend& backend, Duration down_time,
+                   const std::function<void()>& done);
   void stopWhenEmpty(SimulatedBackend& backend, std::uint64_t generation, std::size_t stop,
                      Duration down_time, const std::function<void()>& done);
   void restartOneAfterTheOther(std::vector<std::string> names, Duration down_time);
--- a/tests/flow/flow_router_test.cc
+++ b/tests/flow/flow_router_test.cc
@@ -56,7 +56,7 @@
 };
 
 /** Gives the router that configuration, made from the harness's own. */
-auto reconfigure(std::uint64_t version, std::function<void(Configuration&)> change) {
+auto reconfigure(std::uint64_t version, const std::function<void(Configuration&)>& change) {
   return [version, change](RouterHarness& harness, Data&) {
     Configuration configuration = twoServices(version);
     change(configuration);
--- a/tests/sim/scenario_test.cc
+++ b/tests/sim/scenario_test.cc
@@ -11,7 +11,7 @@
 /** Writes a file beside the test program and gives its name. */
 std::string writeFile(const std::string& text) {
   // Cases run in processes of their own at the same time.
-  const std::string path = "scenario_test_input_" + std::to_string(getpid()) + ".toml";
+  std::string path = "scenario_test_input_" + std::to_string(getpid()) + ".toml";
   std::ofstream(path) << text;
   return path;
 }
