--- /dev/null
+++ b/src/balancer/packet_node.cc
@@ -0,0 +1,148 @@
+#include "balancer/packet_node.h"
+
+#include <utility>
+
+namespace lugfork {
+
+namespace {
+
+constexpr Duration kCleanupInterval = seconds(10);
+
+std::int64_t toMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace
+
+PacketNode::Feed::Feed(PacketNode& owner, std::string feed_name, const std::string& prefix)
+    : node(owner),
+      name(std::move(feed_name)),
+      follower(prefix, owner.settings_.follower, owner.source_, owner.scheduler_,
+               owner.time_source_, owner.random_, *this) {}
+
+void PacketNode::Feed::onItems(const std::vector<ItemChange>& changes) {
+  for (const ItemChange& change : changes) {
+    node.onChange(change);
+  }
+  node.applySoon();
+}
+
+void PacketNode::Feed::onComplete() {
+  node.log_.write(LogLevel::Info, "discovery", "view_complete",
+                  {{"view", name}, {"revision", follower.revision()}});
+  node.apply();
+}
+
+void PacketNode::Feed::onSourceLost(SourceError cause) {
+  node.log_.write(LogLevel::Warn, "discovery", "platform_lost",
+                  {{"view", name},
+                   {"cause", toString(cause)},
+                   {"revision", follower.revision()},
+                   {"age_ms", toMilliseconds(follower.age())}});
+}
+
+void PacketNode::Feed::onSourceRegained(Duration lost_for) {
+  node.log_.write(LogLevel::Info, "discovery", "platform_regained",
+                  {{"view", name}, {"lost_for_ms", toMilliseconds(lost_for)}});
+}
+
+PacketNode::PacketNode(PacketNodeSettings settings, const PlatformLayout& layout,
+                       ItemSource& source, PacketSender& sender, Scheduler& scheduler,
+                       const TimeSource& time_source, RandomGenerator& random, EventLog& log)
+    : settings_(std::move(settings)),
+      decoder_(layout.decoder),
+      source_(source),
+      scheduler_(scheduler),
+      time_source_(time_source),
+      random_(random),
+      log_(log),
+      registry_(settings_.retired_for, time_source, log),
+      loads_(settings_.load, time_source),
+      placement_(settings_.placement, makePlacementPolicy(settings_.placement_policy), loads_,
+                 time_source, random),
+      decider_(settings_.decider, time_source, placement_, *this),
+      observer_(settings_.observed_flows, time_source),
+      tokens_(settings_.token_key),
+      router_(decider_, placement_, observer_, tokens_, sender, *this, log),
+      routes_(*this, "routes", layout.routes_prefix),
+      servers_(*this, "servers", layout.servers_prefix) {
+  decider_.setCompactTokens(&tokens_);
+}
+
+void PacketNode::start() {
+  routes_.follower.start();
+  servers_.follower.start();
+  scheduleCleanup();
+}
+
+bool PacketNode::isComplete() const {
+  return routes_.follower.isComplete() && servers_.follower.isComplete() && registry_.hasRoutes();
+}
+
+void PacketNode::startLeaving() {
+  leaving_ = true;
+  log_.write(LogLevel::Info, "node", "leaving", {});
+}
+
+Reason PacketNode::placementBlockedBy() const {
+  return isComplete() ? Reason::None : Reason::Joining;
+}
+
+bool PacketNode::viewIsFresh() const {
+  return isComplete() && routes_.follower.isFresh() && servers_.follower.isFresh();
+}
+
+void PacketNode::onHandshake(Duration duration) {
+  if (on_handshake_) {
+    on_handshake_(duration);
+  }
+}
+
+void PacketNode::onChange(const ItemChange& change) {
+  const Item& item = change.item;
+  if (change.deleted) {
+    registry_.onServerGone(item.key, item.revision);
+    return;
+  }
+  const auto decoded = decoder_.decode(item.key, item.value);
+  if (!decoded) {
+    ++counters_.records_invalid;
+    log_.write(LogLevel::Error, "discovery", "record_invalid",
+               {{"key", item.key}, {"revision", item.revision}, {"problem", decoded.error().text}});
+    return;
+  }
+  if (const auto* server = std::get_if<ServerRecord>(&decoded.value())) {
+    registry_.onServer(item.key, *server, item.revision, item.created);
+  } else if (const auto* table = std::get_if<RouteTable>(&decoded.value())) {
+    registry_.onRoutes(*table, item.revision);
+  }
+}
+
+void PacketNode::applySoon() {
+  if (apply_pending_) {
+    return;
+  }
+  apply_pending_ = true;
+  scheduler_.callAfter(settings_.apply_delay, [this] { apply(); });
+}
+
+void PacketNode::apply() {
+  apply_pending_ = false;
+  ++counters_.configurations_applied;
+  decider_.setConfiguration(registry_.makeConfiguration());
+  // The operator's first routes may come after the first full read.
+  if (isComplete() && on_complete_) {
+    std::exchange(on_complete_, nullptr)();
+  }
+}
+
+void PacketNode::scheduleCleanup() {
+  scheduler_.callAfter(kCleanupInterval, [this] {
+    if (registry_.forgetRetired()) {
+      applySoon();
+    }
+    scheduleCleanup();
+  });
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/balancer/packet_node.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <string>
+
+#include "common/event_log.h"
+#include "common/scheduler.h"
+#include "discovery/backend_registry.h"
+#include "discovery/view_follower.h"
+#include "flow/packet_router.h"
+
+namespace lugfork {
+
+/** Who this balancer is and how it behaves. */
+struct PacketNodeSettings {
+  std::string name;
+  std::string zone;
+  CompactTokenKey token_key{};
+  std::string placement_policy = "bounded_rendezvous";
+  /** Flows remembered to learn from; 48 bytes each. */
+  std::size_t observed_flows = 4096;
+  /** Time for which a server that is gone from the platform stays reachable for open flows. */
+  Duration retired_for = seconds(90);
+  /** Time for which changes of back ends are collected before they come into force. */
+  Duration apply_delay = milliseconds(5);
+  FlowDeciderSettings decider;
+  PlacementSettings placement;
+  LoadEstimateSettings load;
+  ViewFollowerSettings follower;
+};
+
+/** Where a platform keeps routes and servers, and how it writes them. */
+struct PlatformLayout {
+  std::string routes_prefix;
+  std::string servers_prefix;
+  const RecordDecoder& decoder;
+};
+
+/** Counts of the node beside the data path. */
+struct PacketNodeCounters {
+  std::uint64_t records_invalid = 0;
+  std::uint64_t configurations_applied = 0;
+};
+
+/**
+ * One balancer for packets with compact tokens, without its sockets and clocks: follows the
+ * platform's routes and servers and routes packets by them.
+ */
+class PacketNode : private PacketRouterHost {
+ public:
+  PacketNode(PacketNodeSettings settings, const PlatformLayout& layout, ItemSource& source,
+             PacketSender& sender, Scheduler& scheduler, const TimeSource& time_source,
+             RandomGenerator& random, EventLog& log);
+
+  /** Starts to follow the platform. */
+  void start();
+
+  void onPacket(const FlowPacket& packet) { router_.onPacket(packet); }
+
+  /** @return true once routes and servers are known whole. */
+  bool isComplete() const;
+
+  /** Begins a planned stop: the node is not ready any more but forwards as before. */
+  void startLeaving();
+
+  /** @return true where callers may be sent here. */
+  bool isReady() const { return isComplete() && !leaving_; }
+  bool isLeaving() const { return leaving_; }
+
+  /** Sets what is called once, when the node becomes complete. */
+  void setCompletionCallback(std::function<void()> callback) { on_complete_ = std::move(callback); }
+
+  /** Sets what is called with the duration of each handshake that ends here. */
+  void setHandshakeCallback(std::function<void(Duration)> callback) {
+    on_handshake_ = std::move(callback);
+  }
+
+  const PacketCounters& packetCounters() const { return router_.counters(); }
+  const PacketNodeCounters& counters() const { return counters_; }
+  const ViewFollower& routesFollower() const { return routes_.follower; }
+  const ViewFollower& serversFollower() const { return servers_.follower; }
+  std::uint64_t routesVersion() const { return registry_.routesVersion(); }
+
+ private:
+  /** Ties a follower to the part of the view that it feeds, for logs. */
+  struct Feed : ViewFollowerHost {
+    Feed(PacketNode& owner, std::string feed_name, const std::string& prefix);
+    void onItems(const std::vector<ItemChange>& changes) override;
+    void onComplete() override;
+    void onSourceLost(SourceError cause) override;
+    void onSourceRegained(Duration lost_for) override;
+
+    PacketNode& node;
+    const std::string name;
+    ViewFollower follower;
+  };
+
+  // PacketRouterHost
+  Reason placementBlockedBy() const override;
+  void onNewerConfigurationSeen(ConfigVersion) override {}
+  void onBackendDraining(BackendId) override {}
+  bool viewIsFresh() const override;
+  void onHandshake(Duration duration) override;
+
+  void onChange(const ItemChange& change);
+  void applySoon();
+  void apply();
+  void scheduleCleanup();
+
+  const PacketNodeSettings settings_;
+  const RecordDecoder& decoder_;
+  ItemSource& source_;
+  Scheduler& scheduler_;
+  const TimeSource& time_source_;
+  RandomGenerator& random_;
+  EventLog& log_;
+  BackendRegistry registry_;
+  BackendLoadTable loads_;
+  PlacementEngine placement_;
+  FlowDecider decider_;
+  FlowObserver observer_;
+  const CompactTokenCodec tokens_;
+  PacketRouter router_;
+  Feed routes_;
+  Feed servers_;
+  std::function<void()> on_complete_;
+  std::function<void(Duration)> on_handshake_;
+  bool apply_pending_ = false;
+  bool leaving_ = false;
+  PacketNodeCounters counters_;
+};
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/common/bounded_event_log.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "common/event_log.h"
+#include "common/time_source.h"
+
+namespace lugfork {
+
+/** Limits of a BoundedEventLog. */
+struct LogLimits {
+  /** Lines a second for each component. */
+  double lines_per_second = 100;
+  /** Lines that a quiet component may write at once. */
+  double burst = 200;
+};
+
+/**
+ * Passes events on within a rate for each component, so that a storm in one neither fills the
+ * output nor hides another. Says how many lines were left out with the first one that passes again.
+ */
+class BoundedEventLog : public EventLog {
+ public:
+  BoundedEventLog(EventLog& next, LogLimits limits, const TimeSource& time_source)
+      : next_(next), limits_(limits), time_source_(time_source) {}
+
+  void write(LogLevel level, std::string_view component, std::string_view event,
+             std::initializer_list<LogField> fields) override;
+
+  /** @return lines left out since the start. */
+  std::uint64_t suppressed() const { return suppressed_; }
+
+ private:
+  struct Budget {
+    double balance = 0;
+    MonotonicTime refilled_at;
+    std::uint64_t left_out = 0;
+  };
+
+  bool takeLine(Budget& budget);
+
+  EventLog& next_;
+  const LogLimits limits_;
+  const TimeSource& time_source_;
+  std::map<std::string, Budget, std::less<>> budgets_;
+  std::uint64_t suppressed_ = 0;
+};
+
+}  // namespace lugfork
--- a/src/config/configuration.cc
+++ b/src/config/configuration.cc
@@ -18,6 +18,24 @@
   return std::find(allowed_zones.begin(), allowed_zones.end(), zone) != allowed_zones.end();
 }
 
+std::optional<ServiceId> Route::serviceFor(std::uint64_t flow_hash) const {
+  std::uint64_t total = 0;
+  for (const RouteTarget& target : targets) {
+    total += target.weight;
+  }
+  if (total == 0) {
+    return std::nullopt;
+  }
+  std::uint64_t rest = flow_hash % total;
+  for (const RouteTarget& target : targets) {
+    if (rest < target.weight) {
+      return target.service;
+    }
+    rest -= target.weight;
+  }
+  return std::nullopt;
+}
+
 ConfigurationView::ConfigurationView(Configuration configuration)
     : document_(std::move(configuration)) {
   for (const Zone& zone : document_.zones) {
@@ -25,10 +43,19 @@
   }
   for (const Service& service : document_.services) {
     services_[service.id] = &service;
-    services_by_address_[service.address] = &service;
+    if (service.address.isSet()) {
+      services_by_address_[service.address] = &service;
+      routes_[service.address] = Route{service.address, {{service.id, 1}}};
+    }
+  }
+  for (const Route& route : document_.routes) {
+    routes_[route.address] = route;
   }
   for (const Backend& backend : document_.backends) {
     backends_[backend.id] = &backend;
+    if (backend.retired) {
+      continue;
+    }
     backends_by_address_[backend.address] = &backend;
     backends_by_service_[backend.service].push_back(&backend);
   }
@@ -44,6 +71,11 @@
   return findOrNull(services_by_address_, address);
 }
 
+const Route* ConfigurationView::routeAt(Endpoint address) const {
+  const auto found = routes_.find(address);
+  return found == routes_.end() ? nullptr : &found->second;
+}
+
 const Service* ConfigurationView::service(ServiceId id) const {
   return findOrNull(services_, id);
 }
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -50,6 +51,11 @@
   std::uint32_t connections = 0;
   /** Declared to be leaving: established flows go on, nothing new is placed. */
   bool draining = false;
+  /** No longer declared: reachable for the flows that it may still hold, and nothing else. */
+  bool retired = false;
+  /** Identifies this start of the server where the platform tells it; else 0. */
+  std::uint64_t incarnation = 0;
+  /** What goes into documents and between balancers. */
   auto fields() {
     return std::tie(id, name, service, zone, address, probe_address, slots, connections, draining);
   }
@@ -68,6 +74,24 @@
   bool operator==(const TokenKey&) const = default;
 };
 
+/** Part of a route's new flows that a service gets. */
+struct RouteTarget {
+  ServiceId service;
+  /** Share of new flows, relative to the route's other targets. */
+  std::uint32_t weight = 1;
+  bool operator==(const RouteTarget&) const = default;
+};
+
+/** Address that callers use, and the services that take its new flows. */
+struct Route {
+  Endpoint address;
+  std::vector<RouteTarget> targets;
+  bool operator==(const Route&) const = default;
+
+  /** @return the service of a flow, the same on every balancer; nothing without any weight. */
+  std::optional<ServiceId> serviceFor(std::uint64_t flow_hash) const;
+};
+
 /** One version of the whole declared configuration. */
 struct Configuration {
   ConfigVersion version;
@@ -76,6 +100,8 @@
   std::vector<Service> services;
   std::vector<Backend> backends;
   std::vector<TokenKey> keys;
+  /** Routes besides the one that each service's own address makes. */
+  std::vector<Route> routes;
   bool operator==(const Configuration&) const = default;
 };
 
@@ -89,6 +115,7 @@
 
   /** @return the resource, or nullptr where none has that id, name or address. */
   const Service* serviceAt(Endpoint address) const;
+  const Route* routeAt(Endpoint address) const;
   const Service* service(ServiceId id) const;
   const Backend* backend(BackendId id) const;
   const Backend* backendAt(Endpoint address) const;
@@ -99,12 +126,13 @@
   /** @return the key that seals new tokens, or nullptr in an empty configuration. */
   const TokenKey* sealingKey() const { return sealing_key_; }
 
-  /** @return the back ends declared for a service, in the document's order. */
+  /** @return the back ends declared for a service, in the document's order; none is retired. */
   const std::vector<const Backend*>& backendsOf(ServiceId service) const;
 
  private:
   Configuration document_;
   std::unordered_map<Endpoint, const Service*> services_by_address_;
+  std::unordered_map<Endpoint, Route> routes_;
   std::unordered_map<ServiceId, const Service*> services_;
   std::unordered_map<BackendId, const Backend*> backends_;
   std::unordered_map<Endpoint, const Backend*> backends_by_address_;
--- /dev/null
+++ b/src/discovery/backend_registry.cc
@@ -0,0 +1,168 @@
+#include "discovery/backend_registry.h"
+
+#include <algorithm>
+
+#include "flow/compact_token.h"
+
+namespace lugfork {
+
+namespace {
+
+constexpr std::uint32_t kFirstId = 1;
+
+const char* nameOf(ServerState state) {
+  return state == ServerState::Ready ? "ready" : "draining";
+}
+
+/** @return the id of a name; names get ids in the order in which they are first met. */
+template <typename Id>
+Id internedId(std::map<std::string, Id>& ids, const std::string& name) {
+  using Value = decltype(Id().value());
+  const auto next = static_cast<Value>(ids.size() + kFirstId);
+  return ids.try_emplace(name, Id(next)).first->second;
+}
+
+}  // namespace
+
+BackendRegistry::BackendRegistry(Duration retired_for, const TimeSource& time_source, EventLog& log)
+    : retired_for_(retired_for), time_source_(time_source), log_(log) {}
+
+void BackendRegistry::onServer(const std::string& key, const ServerRecord& record,
+                               Revision revision, Revision created) {
+  Server& server = servers_[key];
+  const bool state_changed = server.revision == 0 || server.retired ||
+                             server.record.state != record.state ||
+                             server.record.address != record.address;
+  server.record = record;
+  server.id = backendIdOfIncarnation(record.incarnation);
+  server.revision = revision;
+  server.created = created;
+  server.retired = false;
+  if (state_changed) {
+    log_.write(LogLevel::Info, "discovery", "backend_state",
+               {{"backend", record.name},
+                {"service", record.service},
+                {"address", toString(record.address)},
+                {"backend_zone", record.zone},
+                {"state", nameOf(record.state)},
+                {"revision", revision}});
+  }
+}
+
+void BackendRegistry::onServerGone(const std::string& key, Revision revision) {
+  const auto found = servers_.find(key);
+  if (found == servers_.end() || found->second.retired) {
+    return;
+  }
+  Server& server = found->second;
+  server.retired = true;
+  server.retired_at = time_source_.monotonicTime();
+  log_.write(LogLevel::Info, "discovery", "backend_state",
+             {{"backend", server.record.name},
+              {"service", server.record.service},
+              {"address", toString(server.record.address)},
+              {"state", "retired"},
+              {"state_before", nameOf(server.record.state)},
+              {"revision", revision}});
+}
+
+void BackendRegistry::onRoutes(const RouteTable& table, Revision revision) {
+  if (has_routes_ && table.version < routes_.version) {
+    return;
+  }
+  log_.write(LogLevel::Info, "discovery", "routes_in_force",
+             {{"version", table.version},
+              {"version_before", routes_.version},
+              {"routes", static_cast<std::uint64_t>(table.routes.size())},
+              {"revision", revision}});
+  routes_ = table;
+  has_routes_ = true;
+}
+
+bool BackendRegistry::forgetRetired() {
+  const MonotonicTime now = time_source_.monotonicTime();
+  const auto is_over = [&](const auto& entry) {
+    return entry.second.retired && now - entry.second.retired_at > retired_for_;
+  };
+  return std::erase_if(servers_, is_over) > 0;
+}
+
+ConfigurationViewPtr BackendRegistry::makeConfiguration() {
+  Configuration configuration;
+  configuration.version = ConfigVersion(++builds_);
+  for (const auto& [id, server] : findOwners()) {
+    configuration.backends.push_back(makeBackend(*server));
+  }
+  for (const RouteRecord& record : routes_.routes) {
+    configuration.routes.push_back(makeRoute(record));
+  }
+  std::vector<ZoneId> all_zones;
+  for (const auto& [name, id] : zone_ids_) {
+    configuration.zones.push_back({id, name, ""});
+    all_zones.push_back(id);
+  }
+  for (const auto& [name, id] : service_ids_) {
+    configuration.services.push_back({id, name, Endpoint(), all_zones});
+  }
+  return std::make_shared<ConfigurationView>(std::move(configuration));
+}
+
+BackendRegistry::OwnersById BackendRegistry::findOwners() {
+  OwnersById owners;
+  owners.reserve(servers_.size());
+  for (const auto& [key, server] : servers_) {
+    const auto [entry, is_first] = owners.try_emplace(server.id, &server);
+    if (is_first) {
+      continue;
+    }
+    const Server* other = entry->second;
+    const bool is_older = server.created < other->created;
+    entry->second = is_older ? &server : other;
+    reportClash(is_older ? *other : server, *entry->second);
+  }
+  return owners;
+}
+
+void BackendRegistry::reportClash(const Server& left_out, const Server& owner) {
+  if (reported_clashes_.insert(left_out.record.incarnation).second) {
+    log_.write(LogLevel::Warn, "discovery", "backend_id_clash",
+               {{"backend", left_out.record.name},
+                {"owner", owner.record.name},
+                {"outcome", "gets no flows"}});
+  }
+}
+
+ServiceId BackendRegistry::serviceIdOf(const std::string& name) {
+  return internedId(service_ids_, name);
+}
+
+ZoneId BackendRegistry::zoneIdOf(const std::string& name) {
+  return internedId(zone_ids_, name);
+}
+
+Backend BackendRegistry::makeBackend(const Server& server) {
+  const ServerRecord& record = server.record;
+  Backend backend;
+  backend.id = server.id;
+  backend.name = record.name;
+  backend.service = serviceIdOf(record.service);
+  backend.zone = zoneIdOf(record.zone);
+  backend.address = record.address;
+  backend.slots = std::max(record.slots, 1U);
+  backend.connections = 1;
+  backend.draining = record.state == ServerState::Draining;
+  backend.retired = server.retired;
+  backend.incarnation = record.incarnation;
+  return backend;
+}
+
+Route BackendRegistry::makeRoute(const RouteRecord& record) {
+  Route route;
+  route.address = record.address;
+  for (const RouteShare& share : record.shares) {
+    route.targets.push_back({serviceIdOf(share.service), share.weight});
+  }
+  return route;
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/discovery/backend_registry.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+#include "common/event_log.h"
+#include "common/time_source.h"
+#include "config/configuration.h"
+#include "discovery/item_source.h"
+#include "discovery/platform_records.h"
+
+namespace lugfork {
+
+/**
+ * The incarnations of servers: ready, draining, and those that are gone from the platform but may
+ * still hold flows. Makes the configuration that the data path decides by.
+ */
+class BackendRegistry {
+ public:
+  /** @param retired_for time for which a server that is gone stays reachable for open flows. */
+  BackendRegistry(Duration retired_for, const TimeSource& time_source, EventLog& log);
+
+  /** Takes a server's newest record. */
+  void onServer(const std::string& key, const ServerRecord& record, Revision revision,
+                Revision created);
+
+  /** The server's record is gone from the platform. */
+  void onServerGone(const std::string& key, Revision revision);
+
+  /** Takes the newest routes; an older version than the one in force is ignored. */
+  void onRoutes(const RouteTable& table, Revision revision);
+
+  bool hasRoutes() const { return has_routes_; }
+  std::uint64_t routesVersion() const { return routes_.version; }
+
+  /** Forgets servers that have been gone for long. @return true if the configuration changes. */
+  bool forgetRetired();
+
+  /** @return a configuration of all that is known; counts as a new version each time. */
+  ConfigurationViewPtr makeConfiguration();
+
+ private:
+  struct Server {
+    ServerRecord record;
+    BackendId id;
+    Revision revision = 0;
+    Revision created = 0;
+    bool retired = false;
+    MonotonicTime retired_at;
+  };
+
+  using OwnersById = std::unordered_map<BackendId, const Server*>;
+
+  /** @return for each id in tokens the oldest server that has it; the others get no flows. */
+  OwnersById findOwners();
+  void reportClash(const Server& left_out, const Server& owner);
+  ServiceId serviceIdOf(const std::string& name);
+  ZoneId zoneIdOf(const std::string& name);
+  Backend makeBackend(const Server& server);
+  Route makeRoute(const RouteRecord& record);
+
+  const Duration retired_for_;
+  const TimeSource& time_source_;
+  EventLog& log_;
+  std::map<std::string, Server> servers_;
+  RouteTable routes_;
+  bool has_routes_ = false;
+  std::map<std::string, ServiceId> service_ids_;
+  std::map<std::string, ZoneId> zone_ids_;
+  std::set<std::uint64_t> reported_clashes_;
+  std::uint64_t builds_ = 0;
+};
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/discovery/view_follower.cc
@@ -0,0 +1,141 @@
+#include "discovery/view_follower.h"
+
+#include <algorithm>
+
+namespace lugfork {
+
+namespace {
+
+/** Wait of the watch that shows, right after a full read, what has changed since. */
+constexpr Duration kCatchUpWait = milliseconds(1);
+constexpr std::uint32_t kMaxDoublings = 10;
+
+}  // namespace
+
+ViewFollower::ViewFollower(std::string prefix, ViewFollowerSettings settings, ItemSource& source,
+                           Scheduler& scheduler, const TimeSource& time_source,
+                           RandomGenerator& random, ViewFollowerHost& host)
+    : prefix_(std::move(prefix)),
+      settings_(settings),
+      source_(source),
+      scheduler_(scheduler),
+      time_source_(time_source),
+      random_(random),
+      host_(host) {}
+
+void ViewFollower::start() {
+  failing_since_ = time_source_.monotonicTime();
+  startFullRead(settings_.first_read);
+}
+
+bool ViewFollower::isFresh() const {
+  return complete_ && age() <= settings_.watch_wait + settings_.fresh_for;
+}
+
+void ViewFollower::startFullRead(ReadConsistency consistency) {
+  ++counters_.full_reads;
+  consistency_ = consistency;
+  page_after_key_.clear();
+  view_.startFullRead();
+  readNextPage();
+}
+
+void ViewFollower::readNextPage() {
+  ++counters_.pages;
+  source_.readPage({prefix_, page_after_key_, consistency_},
+                   [this](const Result<ItemPage, SourceError>& answer) { onPage(answer); });
+}
+
+void ViewFollower::onPage(const Result<ItemPage, SourceError>& answer) {
+  if (!answer) {
+    onError(answer.error());
+    retry([this] { readNextPage(); });
+    return;
+  }
+  onAnswer();
+  const ItemPage& page = answer.value();
+  tell(view_.applyPage(page));
+  if (page.more && !page.items.empty()) {
+    page_after_key_ = page.items.back().key;
+    readNextPage();
+    return;
+  }
+  tell(view_.finishFullRead());
+  watch_after_ = view_.fullReadRevision();
+  startWatch(kCatchUpWait);
+}
+
+void ViewFollower::startWatch(Duration wait) {
+  ++counters_.watches;
+  source_.watch({prefix_, watch_after_, wait},
+                [this](const Result<ItemChanges, SourceError>& answer) { onChanges(answer); });
+}
+
+void ViewFollower::onChanges(const Result<ItemChanges, SourceError>& answer) {
+  if (!answer && answer.error() == SourceError::HistoryGone) {
+    ++counters_.errors[static_cast<std::size_t>(SourceError::HistoryGone)];
+    startFullRead(ReadConsistency::Latest);
+    return;
+  }
+  if (!answer) {
+    onError(answer.error());
+    retry([this] { startWatch(complete_ ? settings_.watch_wait : kCatchUpWait); });
+    return;
+  }
+  onAnswer();
+  const ItemChanges& changes = answer.value();
+  watch_after_ = std::max(watch_after_, changes.at);
+  std::vector<ItemChange> news;
+  for (const ItemChange& change : changes.changes) {
+    if (view_.apply(change)) {
+      news.push_back(change);
+    }
+  }
+  tell(news);
+  if (!complete_) {
+    complete_ = true;
+    host_.onComplete();
+  }
+  const Duration pause = changes.changes.empty() ? Duration::zero() : settings_.watch_pause;
+  scheduler_.callAfter(pause, [this] { startWatch(settings_.watch_wait); });
+}
+
+void ViewFollower::onAnswer() {
+  const MonotonicTime now = time_source_.monotonicTime();
+  answered_at_ = now;
+  if (failures_in_row_ > 0) {
+    failures_in_row_ = 0;
+    host_.onSourceRegained(now - failing_since_);
+  }
+}
+
+void ViewFollower::onError(SourceError error) {
+  ++counters_.errors[static_cast<std::size_t>(error)];
+  if (failures_in_row_ == 0) {
+    failing_since_ = time_source_.monotonicTime();
+  }
+  const bool news = failures_in_row_ == 0 || error != last_error_;
+  ++failures_in_row_;
+  last_error_ = error;
+  if (news) {
+    host_.onSourceLost(error);
+  }
+}
+
+void ViewFollower::retry(std::function<void()> function) {
+  const std::uint32_t doublings = std::min(failures_in_row_ - 1, kMaxDoublings);
+  const Duration pause =
+      std::min(settings_.retry_longest, settings_.retry_first * (1U << doublings));
+  const double part = 0.5 + 0.5 * random_.unit();
+  scheduler_.callAfter(
+      Duration(static_cast<std::int64_t>(static_cast<double>(pause.count()) * part)),
+      std::move(function));
+}
+
+void ViewFollower::tell(const std::vector<ItemChange>& news) {
+  if (!news.empty()) {
+    host_.onItems(news);
+  }
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/discovery/view_follower.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <string>
+
+#include "common/random_generator.h"
+#include "common/scheduler.h"
+#include "discovery/item_view.h"
+
+namespace lugfork {
+
+/** Tunables of a ViewFollower. */
+struct ViewFollowerSettings {
+  /** Longest time for which a watch is held open without a change. */
+  Duration watch_wait = seconds(3);
+  /** Pause before the next watch after an answer with changes, so that a burst needs few calls. */
+  Duration watch_pause = milliseconds(50);
+  /** Pause after a failed call: doubles from the first to the longest, half of it random. */
+  Duration retry_first = milliseconds(100);
+  Duration retry_longest = seconds(1);
+  /** Answers older than this, and a bit more than a watch, no longer prove that the view is new. */
+  Duration fresh_for = seconds(4);
+  /** Whether the first full read may be served by a lagging replica; a watch then catches up. */
+  ReadConsistency first_read = ReadConsistency::Latest;
+};
+
+/** Takes what a ViewFollower learns. */
+class ViewFollowerHost {
+ public:
+  virtual ~ViewFollowerHost() = default;
+
+  /** Items that are newer than what was known, in the order in which they were told. */
+  virtual void onItems(const std::vector<ItemChange>& changes) = 0;
+
+  /** The view has become complete: a full read was done and a watch has shown what came since. */
+  virtual void onComplete() = 0;
+
+  /** A call failed; the first of a row of failures, or another cause than before. */
+  virtual void onSourceLost(SourceError cause) = 0;
+
+  /** A call succeeded after failures. */
+  virtual void onSourceRegained(Duration lost_for) = 0;
+};
+
+/** Counts of a ViewFollower since its start. */
+struct ViewFollowerCounters {
+  std::uint64_t pages = 0;
+  std::uint64_t watches = 0;
+  std::uint64_t full_reads = 0;
+  std::uint64_t errors[static_cast<std::size_t>(SourceError::Last) + 1] = {};
+};
+
+/**
+ * Keeps the view of one prefix current: a full read in pages, then one watch after the other. A
+ * failure changes nothing that is known; lost history leads to another full read.
+ */
+class ViewFollower {
+ public:
+  ViewFollower(std::string prefix, ViewFollowerSettings settings, ItemSource& source,
+               Scheduler& scheduler, const TimeSource& time_source, RandomGenerator& random,
+               ViewFollowerHost& host);
+
+  void start();
+
+  bool isComplete() const { return complete_; }
+
+  /** @return true if the source has answered lately enough that the view is the newest. */
+  bool isFresh() const;
+
+  /** @return time since the last answer. */
+  Duration age() const { return time_source_.monotonicTime() - answered_at_; }
+
+  Revision revision() const { return view_.newestRevision(); }
+  const ViewFollowerCounters& counters() const { return counters_; }
+
+ private:
+  void startFullRead(ReadConsistency consistency);
+  void readNextPage();
+  void onPage(const Result<ItemPage, SourceError>& answer);
+  void startWatch(Duration wait);
+  void onChanges(const Result<ItemChanges, SourceError>& answer);
+  void onAnswer();
+  void onError(SourceError error);
+  /** Calls the function after a pause that grows with the failures in a row. */
+  void retry(std::function<void()> function);
+  void tell(const std::vector<ItemChange>& news);
+
+  const std::string prefix_;
+  const ViewFollowerSettings settings_;
+  ItemSource& source_;
+  Scheduler& scheduler_;
+  const TimeSource& time_source_;
+  RandomGenerator& random_;
+  ViewFollowerHost& host_;
+  ItemView view_;
+  ReadConsistency consistency_ = ReadConsistency::Latest;
+  std::string page_after_key_;
+  Revision watch_after_ = 0;
+  std::uint32_t failures_in_row_ = 0;
+  SourceError last_error_ = SourceError::NoAnswer;
+  MonotonicTime failing_since_;
+  MonotonicTime answered_at_;
+  bool complete_ = false;
+  ViewFollowerCounters counters_;
+};
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/flow/flow_observer.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <vector>
+
+#include "common/ids.h"
+#include "common/time_source.h"
+#include "flow/flow_packet.h"
+
+namespace lugfork {
+
+/** What one packet shows about the back end of its flow. */
+enum class FlowEvidence {
+  None,
+  /** The caller has received something new from the back end. */
+  Progress,
+  /** The caller repeats itself: the back end has not answered. */
+  Silence,
+};
+
+/** What a later packet shows. */
+struct FlowObservation {
+  FlowEvidence evidence = FlowEvidence::None;
+  /** Time since the opening, where this packet ends the handshake; else zero. */
+  Duration handshake{};
+};
+
+/** What is remembered of a flow that passed here lately. */
+struct ObservedFlow {
+  FlowId flow;
+  BackendId backend;
+  /** Number after the last byte that the caller sent. */
+  std::uint32_t next_sequence = 0;
+  std::uint32_t acknowledged = 0;
+  /** Repetitions since the last progress. */
+  std::uint16_t repetitions = 0;
+  bool open = false;
+  MonotonicTime progress_at;
+};
+
+/**
+ * Remembers the flows that passed here lately, to learn from what callers send whether back ends
+ * answer. A cache of fixed size: a flow that is not in it is served all the same.
+ */
+class FlowObserver {
+ public:
+  /** @param size flows remembered at most. */
+  FlowObserver(std::size_t size, const TimeSource& time_source);
+
+  /** @return the flow, or nullptr where it is not remembered. */
+  const ObservedFlow* find(const FlowId& flow) const;
+
+  /** Notes that a flow's opening goes to the back end. */
+  void onPlaced(const FlowPacket& packet, BackendId backend);
+
+  /** Notes a later packet. @return what it shows of the back end. */
+  FlowObservation onContinuation(const FlowPacket& packet, BackendId backend);
+
+  /** Forgets a flow. */
+  void forget(const FlowId& flow);
+
+ private:
+  ObservedFlow& slotOf(const FlowId& flow);
+  const ObservedFlow& slotOf(const FlowId& flow) const;
+
+  const TimeSource& time_source_;
+  std::vector<ObservedFlow> flows_;
+};
+
+}  // namespace lugfork
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -28,11 +28,11 @@
       sender_(sender),
       placement_(placement),
       loads_(loads),
-      host_(host) {}
+      host_(host),
+      decider_(settings, time_source, placement, host) {}
 
 void FlowRouter::setConfiguration(ConfigurationViewPtr configuration) {
-  placement_.setConfiguration(configuration);
-  configuration_ = std::move(configuration);
+  decider_.setConfiguration(std::move(configuration));
 }
 
 void FlowRouter::onDatagram(std::span<const std::uint8_t> bytes, Endpoint from) {
@@ -75,26 +75,15 @@
 }
 
 void FlowRouter::onOpen(const Open& open, Endpoint caller) {
-  const Reason blocked_by = host_.placementBlockedBy();
-  if (blocked_by != Reason::None || configuration_ == nullptr) {
-    const Reason reason = blocked_by == Reason::None ? Reason::Joining : blocked_by;
-    refuseOpen(caller, open.key, reason, settings_.retry_after);
-    return;
-  }
-  const Service* service = configuration_->serviceAt(open.service);
-  if (service == nullptr) {
-    refuseOpen(caller, open.key, Reason::UnknownService, settings_.retry_after);
-    return;
-  }
-  const auto placed = placement_.place(*service, open.key.flow);
-  if (!placed) {
-    refuseOpen(caller, open.key, placed.error().reason, placed.error().retry_after);
+  const auto decision = decider_.decideOpening({open.key.flow, open.service, BackendId()});
+  if (!decision) {
+    refuseOpen(caller, open.key, decision.error().reason, decision.error().retry_after);
     return;
   }
+  const auto& [service, backend] = decision.value();
   ++counters_.placements;
   retryBudgetOf(service->id).onFirstTry();
-  sender_.sendDatagram(caller,
-                       Placed{open.key, sealPlacement(open.key, *service, *placed.value())});
+  sender_.sendDatagram(caller, Placed{open.key, sealPlacement(open.key, *service, *backend)});
 }
 
 void FlowRouter::noteProgress(const AnswerAck& ack, BackendId backend) {
@@ -106,82 +95,28 @@
 template <typename TokenDatagram>
 void FlowRouter::relay(const TokenDatagram& datagram, std::span<const std::uint8_t> bytes,
                        Endpoint caller) {
-  if (configuration_ == nullptr) {
+  const ContinuationDecision decision =
+      decider_.decideContinuation({datagram.key, datagram.service, SealedToken{datagram.token}});
+  if (std::holds_alternative<DropDecision>(decision)) {
     ++counters_.drops_configuration_behind;
     return;
   }
-  const auto opened = openToken(datagram.token, datagram.key, *configuration_);
-  if (!opened) {
-    onTokenError(opened.error(), datagram.key, caller);
+  if (const auto* refused = std::get_if<ResetDecision>(&decision)) {
+    reset(caller, datagram.key, refused->reason);
     return;
   }
-  const Placement& placement = opened.value();
-  const bool behind = placement.config_version > configuration_->version();
-  if (behind) {
-    host_.onNewerConfigurationSeen(placement.config_version);
-  }
-  const auto destination = resolveBackend(placement, datagram.service);
-  if (!destination && behind) {
-    // What stands against the placement may be out of date here; the caller resends.
-    ++counters_.drops_configuration_behind;
-    return;
-  }
-  if (!destination) {
-    reset(caller, datagram.key, destination.error());
-    return;
-  }
-  noteProgress(datagram, placement.backend);
-  const ForwardMode mode = forwardModeOf(placement);
-  ++(mode == ForwardMode::MayStart ? counters_.forwards : counters_.forwards_continue_only);
-  sender_.sendDatagram(destination.value(), Forward{caller, placement.backend, placement.service,
-                                                    mode, Bytes(bytes.begin(), bytes.end())});
-}
-
-void FlowRouter::onTokenError(TokenError error, const FlowKey& key, Endpoint caller) {
-  if (error == TokenError::UnknownKey) {
-    // The key may come with a configuration that has not arrived here yet.
-    ++counters_.drops_configuration_behind;
-    host_.onNewerConfigurationSeen(ConfigVersion(configuration_->version().value() + 1));
-    return;
-  }
-  reset(caller, key, Reason::TokenInvalid);
-}
-
-Result<Endpoint, Reason> FlowRouter::resolveBackend(const Placement& placement,
-                                                    Endpoint addressed_service) {
-  const Service* service = configuration_->service(placement.service);
-  if (service == nullptr || service->address != addressed_service) {
-    return Reason::TokenForOtherService;
-  }
-  if (!service->allowsZone(placement.zone)) {
-    return Reason::ZoneNotAllowed;
-  }
-  const Backend* declared = configuration_->backend(placement.backend);
-  if (declared != nullptr) {
-    const bool same_place = declared->service == placement.service &&
-                            declared->zone == placement.zone &&
-                            declared->address == placement.backend_address;
-    if (!same_place) {
-      return Reason::BackendGone;
-    }
-    return declared->address;
-  }
-  // Not declared here, or no longer: established flows go on unless another back end has the
-  // address now. The back end itself checks its id as well.
-  if (configuration_->backendAt(placement.backend_address) != nullptr) {
-    return Reason::BackendGone;
-  }
-  return placement.backend_address;
-}
-
-ForwardMode FlowRouter::forwardModeOf(const Placement& placement) const {
-  const Duration age = time_source_.systemTime() - placement.placed_at;
-  return age <= settings_.placement_lifetime ? ForwardMode::MayStart : ForwardMode::ContinueOnly;
+  const auto& forward = std::get<ForwardDecision>(decision);
+  noteProgress(datagram, forward.backend);
+  ++(forward.mode == ForwardMode::MayStart ? counters_.forwards : counters_.forwards_continue_only);
+  sender_.sendDatagram(forward.destination,
+                       Forward{caller, forward.backend, forward.service, forward.mode,
+                               Bytes(bytes.begin(), bytes.end())});
 }
 
 void FlowRouter::onBackendRefusal(const BackendRefusal& refusal, Endpoint from) {
-  const Backend* backend =
-      configuration_ == nullptr ? nullptr : configuration_->backend(refusal.backend);
+  const Backend* backend = decider_.configuration() == nullptr
+                               ? nullptr
+                               : decider_.configuration()->backend(refusal.backend);
   if (backend != nullptr) {
     if (backend->address != from || backend->service != refusal.service) {
       ++counters_.drops_unverified_refusal;
@@ -208,8 +143,9 @@
     return;
   }
   TokenBytes replacement;
-  const Service* service =
-      configuration_ == nullptr ? nullptr : configuration_->service(refusal.service);
+  const Service* service = decider_.configuration() == nullptr
+                               ? nullptr
+                               : decider_.configuration()->service(refusal.service);
   if (service != nullptr && mayPlaceAgainAfter(refusal.reason)) {
     replacement = placeAgain(refusal, *service);
   }
@@ -255,9 +191,9 @@
   placement.backend = backend.id;
   placement.zone = backend.zone;
   placement.backend_address = backend.address;
-  placement.config_version = configuration_->version();
+  placement.config_version = decider_.configuration()->version();
   placement.placed_at = time_source_.systemTime();
-  return sealToken(placement, *configuration_->sealingKey());
+  return sealToken(placement, *decider_.configuration()->sealingKey());
 }
 
 void FlowRouter::refuseOpen(Endpoint caller, const FlowKey& key, Reason reason,
--- a/src/flow/flow_router.h
+++ b/src/flow/flow_router.h
@@ -6,11 +6,9 @@
 
 #include "common/random_generator.h"
 #include "common/time_source.h"
-#include "config/configuration.h"
 #include "flow/flow_counters.h"
-#include "flow/placement_engine.h"
+#include "flow/flow_decider.h"
 #include "flow/retry_budget.h"
-#include "flow/token.h"
 #include "wire/datagram.h"
 
 namespace lugfork {
@@ -22,34 +20,15 @@
   virtual void sendDatagram(Endpoint destination, const Datagram& datagram) = 0;
 };
 
-/** What the data path asks of, and tells, the rest of the node. */
-class FlowRouterHost {
- public:
-  virtual ~FlowRouterHost() = default;
-
-  /** @return Reason::None if this node may place new flows now, else why not. */
-  virtual Reason placementBlockedBy() const = 0;
-
-  /** A token shows that a newer configuration is in force elsewhere. */
-  virtual void onNewerConfigurationSeen(ConfigVersion version) = 0;
-
-  /** A back end said in a refusal that it is leaving. */
-  virtual void onBackendDraining(BackendId backend) = 0;
-};
-
 /** Tunables of the data path. */
-struct FlowRouterSettings {
-  /** Time after a placement in which its token may start work. */
-  Duration placement_lifetime = seconds(3);
-  /** Time that callers are told to wait when this node can't place. */
-  Duration retry_after = seconds(1);
+struct FlowRouterSettings : FlowDeciderSettings {
   /** Limits immediate placements after a refusal, for each service. */
   RetryBudgetSettings retry_budget;
 };
 
 /**
- * The data path of a balancer. Keeps no state for a flow: everything that it needs stands in the
- * datagram's token and in the configuration in force.
+ * The data path of a balancer for the product's own datagrams: reads them, has the FlowDecider
+ * decide, and sends what follows. Keeps no state for a flow.
  */
 class FlowRouter {
  public:
@@ -80,7 +59,7 @@
   /** Gives the caller its final answer at once, with a new placement where there is one. */
   void relayRefusal(const BackendRefusal& refusal);
 
-  /** Handles any datagram that carries a token: checks it, then forwards the bytes as they are. */
+  /** Handles any datagram that carries a token; forwards the bytes as they are. */
   template <typename TokenDatagram>
   void relay(const TokenDatagram& datagram, std::span<const std::uint8_t> bytes, Endpoint caller);
 
@@ -89,16 +68,6 @@
   template <typename Other>
   void noteProgress(const Other&, BackendId) {}
 
-  void onTokenError(TokenError error, const FlowKey& key, Endpoint caller);
-
-  /**
-   * Checks a placement against the configuration in force.
-   * @param addressed_service the service address that the datagram was sent to.
-   * @return where to forward, or the reason of the reset that the placement calls for.
-   */
-  Result<Endpoint, Reason> resolveBackend(const Placement& placement, Endpoint addressed_service);
-
-  ForwardMode forwardModeOf(const Placement& placement) const;
   RetryBudget& retryBudgetOf(ServiceId service);
 
   /** @return a token for the next attempt, the same for copies of one refusal; or nothing. */
@@ -120,7 +89,7 @@
   PlacementEngine& placement_;
   BackendLoadTable& loads_;
   FlowRouterHost& host_;
-  ConfigurationViewPtr configuration_;
+  FlowDecider decider_;
   FlowCounters counters_;
   std::unordered_map<ServiceId, RetryBudget> retry_budgets_;
   std::array<RecentReplacement, kRecentReplacements> recent_replacements_;
--- /dev/null
+++ b/src/flow/packet_router.cc
@@ -0,0 +1,135 @@
+#include "flow/packet_router.h"
+
+namespace lugfork {
+
+PacketRouter::PacketRouter(FlowDecider& decider, PlacementEngine& placement, FlowObserver& observer,
+                           const CompactTokenCodec& tokens, PacketSender& sender,
+                           PacketRouterHost& host, EventLog& log)
+    : decider_(decider),
+      placement_(placement),
+      observer_(observer),
+      tokens_(tokens),
+      sender_(sender),
+      host_(host),
+      log_(log) {}
+
+void PacketRouter::onPacket(const FlowPacket& packet) {
+  if (packet.opens) {
+    onOpening(packet);
+  } else {
+    onContinuation(packet);
+  }
+}
+
+void PacketRouter::onOpening(const FlowPacket& packet) {
+  const BackendId silent = silentChoice(packet);
+  const auto decision = decider_.decideOpening({packet.flow(), packet.service, silent});
+  if (!decision) {
+    refuseOpening(packet, decision.error());
+    return;
+  }
+  const Backend& backend = *decision.value().backend;
+  ++counters_.openings;
+  counters_.reopenings += silent == BackendId() ? 0 : 1;
+  observer_.onPlaced(packet, backend.id);
+  sender_.forwardPacket(backend, tokens_.encode(packet.flow(), backend.id));
+  log_.write(LogLevel::Info, "flow", "flow_placed",
+             {{"flow", flowName(packet)},
+              {"copy", packet.acknowledged},
+              {"backend", backend.name},
+              {"backend_address", toString(backend.address)},
+              {"service", decision.value().service->name},
+              {"view", decider_.configuration()->version().value()}});
+}
+
+BackendId PacketRouter::silentChoice(const FlowPacket& packet) {
+  const ObservedFlow* earlier = observer_.find(packet.flow());
+  const bool is_copy = packet.acknowledged > 0 && earlier != nullptr && !earlier->open;
+  if (!is_copy) {
+    return BackendId();
+  }
+  const Backend* backend = decider_.configuration() == nullptr
+                               ? nullptr
+                               : decider_.configuration()->backend(earlier->backend);
+  if (backend != nullptr) {
+    placement_.onBackendSilent(*backend, FlowKey{packet.flow(), 0});
+  }
+  return earlier->backend;
+}
+
+void PacketRouter::refuseOpening(const FlowPacket& packet, const PlacementRefusal& refusal) {
+  const bool is_certain = (refusal.reason == Reason::UnknownService ||
+                           refusal.reason == Reason::NoBackendInAllowedZones) &&
+                          host_.viewIsFresh();
+  if (is_certain) {
+    reset(packet, refusal.reason);
+    return;
+  }
+  ++counters_.drops_not_certain;
+  log_.write(LogLevel::Info, "flow", "opening_dropped",
+             {{"flow", flowName(packet)}, {"reason", toString(refusal.reason)}});
+}
+
+void PacketRouter::onContinuation(const FlowPacket& packet) {
+  const ContinuationDecision decision =
+      decider_.decideContinuation({FlowKey{packet.flow(), 0}, packet.service, packet.token});
+  if (const auto* forward = std::get_if<ForwardDecision>(&decision)) {
+    onForward(packet, *forward);
+    return;
+  }
+  if (const auto* refused = std::get_if<ResetDecision>(&decision)) {
+    reset(packet, refused->reason);
+    return;
+  }
+  ++counters_.drops_unknown_backend;
+  log_.write(LogLevel::Info, "flow", "packet_dropped",
+             {{"flow", flowName(packet)},
+              {"token", packet.token.value},
+              {"reason", "token names no known back end"}});
+}
+
+void PacketRouter::onForward(const FlowPacket& packet, const ForwardDecision& forward) {
+  const Backend& backend = *decider_.configuration()->backend(forward.backend);
+  ++counters_.forwards;
+  sender_.forwardPacket(backend, packet.token);
+  learn(packet, backend);
+}
+
+void PacketRouter::learn(const FlowPacket& packet, const Backend& backend) {
+  const FlowObservation observation = observer_.onContinuation(packet, backend.id);
+  if (observation.handshake > Duration::zero()) {
+    host_.onHandshake(observation.handshake);
+  }
+  switch (observation.evidence) {
+    case FlowEvidence::Progress:
+      placement_.onBackendProgress(backend.id);
+      break;
+    case FlowEvidence::Silence:
+      placement_.onBackendSilent(backend, FlowKey{packet.flow(), 0});
+      break;
+    case FlowEvidence::None:
+      break;
+  }
+  if (packet.closes || packet.aborts) {
+    observer_.forget(packet.flow());
+  }
+}
+
+void PacketRouter::reset(const FlowPacket& packet, Reason reason) {
+  if (packet.aborts) {
+    return;
+  }
+  ++counters_.resets_by_reason[static_cast<std::size_t>(reason)];
+  sender_.resetCaller(packet);
+  log_.write(LogLevel::Info, "flow", "flow_reset",
+             {{"flow", flowName(packet)},
+              {"opening", packet.opens},
+              {"reason", toString(reason)},
+              {"view", decider_.configuration()->version().value()}});
+}
+
+std::string flowName(const FlowPacket& packet) {
+  return toString(packet.caller) + ">" + toString(packet.service);
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/flow/packet_router.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <array>
+
+#include "common/event_log.h"
+#include "flow/flow_counters.h"
+#include "flow/flow_decider.h"
+#include "flow/flow_observer.h"
+#include "flow/flow_packet.h"
+
+namespace lugfork {
+
+/** Counts of the data path for packets with compact tokens since the start of the process. */
+struct PacketCounters {
+  std::uint64_t openings = 0;
+  /** Openings sent to another back end because the first did not answer. */
+  std::uint64_t reopenings = 0;
+  std::uint64_t forwards = 0;
+  /** Packets of open flows whose token names nobody known here. */
+  std::uint64_t drops_unknown_backend = 0;
+  /** Openings that were neither placed nor refused, because this node is not certain. */
+  std::uint64_t drops_not_certain = 0;
+  std::array<std::uint64_t, kReasonCount> resets_by_reason{};
+};
+
+/** What the packet router asks of the rest of the node. */
+class PacketRouterHost : public FlowRouterHost {
+ public:
+  /** @return true where what this node knows of routes and back ends is surely the newest. */
+  virtual bool viewIsFresh() const = 0;
+
+  /** A flow's handshake has ended, that long after its opening. */
+  virtual void onHandshake(Duration duration) = 0;
+};
+
+/**
+ * The data path of a balancer for packets with compact tokens. Every packet of an open flow names
+ * its back end; an opening is placed. Silent where it is not certain, since the caller sends again.
+ */
+class PacketRouter {
+ public:
+  PacketRouter(FlowDecider& decider, PlacementEngine& placement, FlowObserver& observer,
+               const CompactTokenCodec& tokens, PacketSender& sender, PacketRouterHost& host,
+               EventLog& log);
+
+  void onPacket(const FlowPacket& packet);
+
+  const PacketCounters& counters() const { return counters_; }
+
+ private:
+  void onOpening(const FlowPacket& packet);
+  void onContinuation(const FlowPacket& packet);
+  void onForward(const FlowPacket& packet, const ForwardDecision& forward);
+
+  /** @return the back end that got an earlier copy of the opening and did not answer, or none. */
+  BackendId silentChoice(const FlowPacket& packet);
+  void refuseOpening(const FlowPacket& packet, const PlacementRefusal& refusal);
+  void reset(const FlowPacket& packet, Reason reason);
+  void learn(const FlowPacket& packet, const Backend& backend);
+
+  FlowDecider& decider_;
+  PlacementEngine& placement_;
+  FlowObserver& observer_;
+  const CompactTokenCodec& tokens_;
+  PacketSender& sender_;
+  PacketRouterHost& host_;
+  EventLog& log_;
+  PacketCounters counters_;
+};
+
+/** @return the flow as logs name it: "caller>service". */
+std::string flowName(const FlowPacket& packet);
+
+}  // namespace lugfork
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -73,6 +73,13 @@
   outliers_.onFailure(backend, attempt, candidatesOf(*service).size_when_made);
 }
 
+void PlacementEngine::onBackendSilent(const Backend& backend, const FlowKey& attempt) {
+  const Service* service = configuration_->service(backend.service);
+  if (service != nullptr && !backend.retired) {
+    outliers_.onFailure(backend, attempt, candidatesOf(*service).size_when_made);
+  }
+}
+
 const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow) {
   std::vector<const Backend*>& backends = list.backends;
   while (!backends.empty()) {
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -63,6 +63,9 @@
    */
   void onBackendRefusal(const Backend& backend, const FlowKey& attempt, Reason reason);
 
+  /** Takes data-path evidence that a back end does not answer a flow. */
+  void onBackendSilent(const Backend& backend, const FlowKey& attempt);
+
   /** Takes data-path evidence that a back end works: a caller confirmed a piece of its answer. */
   void onBackendProgress(BackendId backend) { outliers_.onSuccess(backend); }
 
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -4,6 +4,9 @@
 #include <sodium.h>
 
 #include <algorithm>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <cctype>
 #include <sstream>
 
@@ -13,7 +16,6 @@
 
 constexpr std::size_t kMaxBodyBytes = 16UL * 1024 * 1024;
 constexpr std::size_t kReadChunkBytes = 16UL * 1024;
-constexpr const char* kThreads = "16";
 constexpr int kUnauthorized = 401;
 constexpr int kInternalError = 500;
 
@@ -153,13 +155,17 @@
 
 }  // namespace
 
-HttpServer::HttpServer(Endpoint address, Handler handler, HttpServerSecurity security)
+HttpServer::HttpServer(Endpoint address, Handler handler, HttpServerSecurity security,
+                       HttpServerLimits limits)
     : address_(address) {
   const bool encrypted = !security.certificate_file.empty();
-  std::vector<std::string> options = {
-      "listening_ports",    toString(address) + (encrypted ? "s" : ""),
-      "num_threads",        kThreads,
-      "request_timeout_ms", "10000"};
+  std::string ports = toString(address) + (encrypted ? "s" : "");
+  if (limits.second_address.isSet()) {
+    ports += "," + toString(limits.second_address) + (encrypted ? "s" : "");
+  }
+  std::vector<std::string> options = {"listening_ports",    ports,
+                                      "num_threads",        std::to_string(limits.threads),
+                                      "request_timeout_ms", "10000"};
   if (encrypted) {
     requireTls();
     options.insert(options.end(), {"ssl_certificate", security.certificate_file});
@@ -177,6 +183,18 @@
   server_->close();
 }
 
+void closeWhileServing(boost::asio::io_context& io_context, std::unique_ptr<HttpServer>& server) {
+  io_context.restart();
+  const auto guard = boost::asio::make_work_guard(io_context);
+  boost::asio::thread_pool closer(1);
+  boost::asio::post(closer, [&] {
+    server.reset();
+    io_context.stop();
+  });
+  io_context.run();
+  closer.join();
+}
+
 Endpoint HttpServer::localAddress() const {
   const auto port = static_cast<std::uint16_t>(server_->getListeningPorts().at(0));
   return {address_.address, port};
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -42,6 +43,14 @@
   std::set<std::string> open_paths;
 };
 
+/** Size of the server. */
+struct HttpServerLimits {
+  /** Requests that are answered at a time; each has a thread. */
+  unsigned threads = 16;
+  /** Further address at which the same server listens; unset for none. */
+  Endpoint second_address;
+};
+
 /** HTTP server (CivetWeb) with one handler for all paths, called on the server's own threads. */
 class HttpServer {
  public:
@@ -52,7 +61,8 @@
    * @param security never eased: where HTTPS can't be had the server does not start.
    * @throws std::runtime_error where the address can't be bound.
    */
-  HttpServer(Endpoint address, Handler handler, HttpServerSecurity security = {});
+  HttpServer(Endpoint address, Handler handler, HttpServerSecurity security = {},
+             HttpServerLimits limits = {});
   ~HttpServer();
 
   /** @return the address that the server listens at. */
@@ -64,4 +74,10 @@
   std::unique_ptr<CivetServer> server_;
 };
 
+/**
+ * Closes a server whose handlers wait for the event loop: runs the stopped loop until the last
+ * request is answered.
+ */
+void closeWhileServing(boost::asio::io_context& io_context, std::unique_ptr<HttpServer>& server);
+
 }  // namespace lugfork
--- a/src/runtime/json_event_log.cc
+++ b/src/runtime/json_event_log.cc
@@ -5,6 +5,9 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <chrono>
 #include <iomanip>
 #include <nlohmann/json.hpp>
@@ -46,6 +49,12 @@
   return log4cxx::Logger::getLogger("lugfork." + std::string(component));
 }
 
+/** @return true if a line can be written without waiting: a pipe then takes PIPE_BUF bytes. */
+bool outputHasRoom() {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
 /** @return the wall-clock time in UTC as RFC 3339 writes it, to the millisecond. */
 std::string timestamp() {
   const auto now = std::chrono::system_clock::now();
@@ -62,14 +71,18 @@
 
 }  // namespace
 
+void setLogLevel(const std::string& level) {
+  log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(level));
+}
+
 JsonEventLog::JsonEventLog(LogSettings settings) : settings_(std::move(settings)) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
   const auto appender =
-      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
   const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
-  root->setLevel(log4cxx::Level::toLevel(settings_.level));
+  setLogLevel(settings_.level);
   for (const auto& [component, level] : settings_.component_levels) {
     componentLogger(component)->setLevel(log4cxx::Level::toLevel(level));
   }
@@ -82,6 +95,10 @@
   if (!logger->isEnabledFor(log4cxx_level)) {
     return;
   }
+  if (!outputHasRoom()) {
+    ++left_out_;
+    return;
+  }
   nlohmann::ordered_json line;
   line["time"] = timestamp();
   line["level"] = levelName(level);
@@ -93,6 +110,9 @@
   for (const LogField& field : fields) {
     std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
   }
+  if (left_out_ > 0) {
+    line["lines_left_out_before"] = left_out_.exchange(0);
+  }
   const auto replace = nlohmann::ordered_json::error_handler_t::replace;
   logger->forcedLog(log4cxx_level, line.dump(-1, ' ', false, replace));
 }
--- a/src/runtime/json_event_log.h
+++ b/src/runtime/json_event_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <string>
 
@@ -18,7 +19,13 @@
   std::map<std::string, std::string> component_levels;
 };
 
-/** EventLog that writes one JSON object a line to standard error through log4cxx. */
+/** Sets the lowest level written by all components without a level of their own. */
+void setLogLevel(const std::string& level);
+
+/**
+ * EventLog that writes one JSON object a line to standard output through log4cxx. Never
+ * waits for a reader: a line that the output has no room for is left out.
+ */
 class JsonEventLog : public EventLog {
  public:
   explicit JsonEventLog(LogSettings settings);
@@ -28,6 +35,7 @@
 
  private:
   const LogSettings settings_;
+  std::atomic<std::uint64_t> left_out_ = 0;
 };
 
 }  // namespace lugfork
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -1,27 +1,15 @@
 #include "runtime/metrics.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
 #include <map>
 
+#include "runtime/metric_families.h"
+
 namespace lugfork {
 
 namespace {
 
-void addCounter(prometheus::Registry& registry, const std::string& name, const std::string& help,
-                std::uint64_t value, const prometheus::Labels& labels = {}) {
-  auto& family = prometheus::BuildCounter().Name(name).Help(help).Register(registry);
-  family.Add(labels).Increment(static_cast<double>(value));
-}
-
-void addGauge(prometheus::Registry& registry, const std::string& name, const std::string& help,
-              double value) {
-  prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(value);
-}
-
 void addFlowCounters(prometheus::Registry& registry, const FlowCounters& counters) {
   addCounter(registry, "lugfork_placements_total", "Flows placed.", counters.placements);
   addCounter(registry, "lugfork_replacements_total", "Refused flows placed again at once.",
--- a/src/runtime/node_daemon.cc
+++ b/src/runtime/node_daemon.cc
@@ -35,7 +35,7 @@
       api_(node_, peer_statuses_, time_source_),
       data_(io_context_, settings_.data_address,
             [this](std::span<const std::uint8_t> bytes, Endpoint from) {
-              last_datagram_at_ = time_source_.monotonicTime();
+              leave_timer_.onDatagram(time_source_.monotonicTime());
               node_.onDatagram(bytes, from);
             }),
       peers_(io_context_, settings_.node.peer_address, settings_.peer_security,
@@ -53,7 +53,8 @@
                       api_.observeConditions();
                       reportRefusedPeers();
                     }),
-      signals_(io_context_, SIGTERM, SIGINT) {
+      signals_(io_context_, SIGTERM, SIGINT),
+      leave_timer_(settings_.leave) {
   signals_.async_wait([this](const boost::system::error_code& error, int) {
     if (!error) {
       onStopSignal();
@@ -75,14 +76,7 @@
   io_context_.run();
   stopping_ = true;
   workers_.join();
-  // Requests that wait for the event loop are answered before the server closes.
-  io_context_.restart();
-  boost::asio::thread_pool closer(1);
-  boost::asio::post(closer, [this] { http_.reset(); });
-  const auto guard = boost::asio::make_work_guard(io_context_);
-  boost::asio::post(closer, [this] { io_context_.stop(); });
-  io_context_.run();
-  closer.join();
+  closeWhileServing(io_context_, http_);
   log_.write(LogLevel::Info, "daemon", "stopped", {});
 }
 
@@ -152,19 +146,12 @@
 }
 
 void NodeDaemon::onStopSignal() {
-  leaving_since_ = time_source_.monotonicTime();
+  leave_timer_.start(time_source_.monotonicTime());
   node_.startLeaving();
 }
 
 void NodeDaemon::stopWhenQuiet() {
-  if (!node_.isLeaving()) {
-    return;
-  }
-  const MonotonicTime now = time_source_.monotonicTime();
-  const Duration leaving_for = now - leaving_since_;
-  const bool quiet = now - last_datagram_at_ >= settings_.leave_quiet;
-  const bool done = leaving_for >= settings_.leave_minimum && quiet;
-  if (done || leaving_for >= settings_.leave_maximum) {
+  if (node_.isLeaving() && leave_timer_.isDone(time_source_.monotonicTime())) {
     io_context_.stop();
   }
 }
--- a/src/runtime/node_daemon.h
+++ b/src/runtime/node_daemon.h
@@ -9,6 +9,7 @@
 
 #include "balancer/node.h"
 #include "runtime/http_server.h"
+#include "runtime/leave_timer.h"
 #include "runtime/peer_transport.h"
 #include "runtime/periodic_timer.h"
 #include "runtime/resource_api.h"
@@ -26,12 +27,8 @@
   HttpServerSecurity api_security;
   Duration platform_timeout = seconds(2);
   Duration probe_timeout = milliseconds(500);
-  /** After a planned stop begins the node relays at least this long. */
-  Duration leave_minimum = seconds(2);
-  /** The node exits once no datagram came for this long. */
-  Duration leave_quiet = seconds(1);
-  /** The node exits after this long in any case. */
-  Duration leave_maximum = seconds(30);
+  /** How long the node relays after a planned stop begins. */
+  LeaveSettings leave;
 };
 
 /** Runs one Node on real sockets and clocks. */
@@ -84,8 +81,7 @@
   std::uint64_t reported_refused_peers_ = 0;
   std::atomic<bool> stopping_ = false;
   std::atomic<int> watches_ = 0;
-  MonotonicTime last_datagram_at_;
-  MonotonicTime leaving_since_;
+  LeaveTimer leave_timer_;
 };
 
 }  // namespace lugfork
--- /dev/null
+++ b/src/runtime/packet_daemon.cc
@@ -0,0 +1,152 @@
+#include "runtime/packet_daemon.h"
+
+#include <csignal>
+
+#include "runtime/api_response.h"
+#include "runtime/program.h"
+
+namespace lugfork {
+
+namespace {
+
+constexpr const char* kMetricsPath = "/metrics";
+constexpr Duration kLeaveCheckInterval = milliseconds(100);
+/** Readiness is asked for twice a second by one party, metrics seldom. */
+constexpr unsigned kHttpThreads = 2;
+
+HttpResponse plainText(int status, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+PacketDaemon::PacketDaemon(boost::asio::io_context& io_context, PacketDaemonSettings settings,
+                           const PlatformBinding& platform, EventLog& log,
+                           std::function<std::string()> reload)
+    : settings_(std::move(settings)),
+      codec_(platform.codec),
+      log_(log, settings_.log_limits, time_source_),
+      random_(makeSeededRandom(entropySeed())),
+      io_context_(io_context),
+      scheduler_(io_context),
+      node_(settings_.node, platform.layout, platform.source, *this, scheduler_, time_source_,
+            *random_, log_),
+      socket_(
+          io_context, settings_.packet_address,
+          [this](std::span<const std::uint8_t> bytes, Endpoint from) { onDatagram(bytes, from); },
+          UdpEndpoint::Receiving::Later),
+      signals_(io_context, SIGTERM, SIGINT, SIGHUP),
+      leave_timer_(settings_.leave),
+      reload_(std::move(reload)) {
+  awaitSignal();
+  node_.setCompletionCallback([this] {
+    // Packets that came before wait in the socket and are served now.
+    ready_ = node_.isReady();
+    socket_.startReceiving();
+  });
+  node_.setHandshakeCallback([this](Duration duration) { metrics_.onHandshake(duration); });
+  http_ = std::make_unique<HttpServer>(
+      settings_.ready_address,
+      [this](const HttpRequest& request) { return onHttpRequest(request); }, HttpServerSecurity(),
+      HttpServerLimits{kHttpThreads, settings_.metrics_address});
+}
+
+void PacketDaemon::run() {
+  log_.write(LogLevel::Info, "daemon", "started",
+             {{"packet_address", toString(settings_.packet_address)},
+              {"ready_address", toString(settings_.ready_address)},
+              {"version", LUGFORK_VERSION}});
+  node_.start();
+  io_context_.run();
+  closeWhileServing(io_context_, http_);
+  log_.write(LogLevel::Info, "daemon", "stopped",
+             {{"packets_received", counters_.packets_received}});
+}
+
+void PacketDaemon::onDatagram(std::span<const std::uint8_t> bytes, Endpoint from) {
+  const MonotonicTime received_at = time_source_.monotonicTime();
+  ++counters_.packets_received;
+  leave_timer_.onDatagram(received_at);
+  const auto decoded = codec_.decode(bytes);
+  if (!decoded) {
+    ++counters_.packets_invalid[static_cast<std::size_t>(decoded.error())];
+    log_.write(LogLevel::Warn, "input", "packet_invalid",
+               {{"from", toString(from)},
+                {"bytes", static_cast<std::uint64_t>(bytes.size())},
+                {"problem", toString(decoded.error())}});
+    return;
+  }
+  packet_ = bytes;
+  node_.onPacket(decoded.value());
+  metrics_.onPacketHandled(time_source_.monotonicTime() - received_at);
+}
+
+void PacketDaemon::forwardPacket(const Backend& backend, CompactToken token) {
+  codec_.encodeForBackend(packet_, backend, token, datagram_);
+  socket_.sendBytes(backend.address, datagram_);
+}
+
+void PacketDaemon::resetCaller(const FlowPacket& packet) {
+  // Callers take packets at the port number that balancers have.
+  const Endpoint caller{packet.caller.address, settings_.packet_address.port};
+  socket_.sendBytes(caller, codec_.encodeReset(packet));
+}
+
+void PacketDaemon::awaitSignal() {
+  signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+    if (!error) {
+      onSignal(signal);
+      awaitSignal();
+    }
+  });
+}
+
+void PacketDaemon::onSignal(int signal) {
+  if (signal == SIGHUP) {
+    reload();
+  } else if (!node_.isLeaving()) {
+    startLeaving();
+  }
+}
+
+void PacketDaemon::reload() {
+  const std::string problem = reload_();
+  if (problem.empty()) {
+    log_.write(LogLevel::Info, "daemon", "reloaded", {});
+  } else {
+    log_.write(LogLevel::Error, "daemon", "reload_refused", {{"problem", problem}});
+  }
+}
+
+void PacketDaemon::startLeaving() {
+  leave_timer_.start(time_source_.monotonicTime());
+  node_.startLeaving();
+  ready_ = false;
+  stopWhenDone();
+}
+
+void PacketDaemon::stopWhenDone() {
+  if (leave_timer_.isDone(time_source_.monotonicTime())) {
+    io_context_.stop();
+    return;
+  }
+  scheduler_.callAfter(kLeaveCheckInterval, [this] { stopWhenDone(); });
+}
+
+HttpResponse PacketDaemon::onHttpRequest(const HttpRequest& request) {
+  if (request.path == settings_.ready_path) {
+    return ready_ ? plainText(kHttpOk, "ready\n") : plainText(kHttpUnavailable, "not ready\n");
+  }
+  if (request.path != kMetricsPath) {
+    return problemResponse(kHttpNotFound, "no such resource");
+  }
+  return callOnLoop(io_context_, [this] {
+    return plainText(kHttpOk, metrics_.render(node_, counters_, log_.suppressed()));
+  });
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/runtime/packet_metrics.cc
@@ -0,0 +1,94 @@
+#include "runtime/packet_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include "runtime/metric_families.h"
+
+namespace lugfork {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kHandshakeBounds = {0.002, 0.005, 0.01, 0.02, 0.05,
+                                                                  0.1,   0.2,   0.4,  0.8,  1.6};
+const prometheus::Histogram::BucketBoundaries kHandlingBounds = {0.00001, 0.00002, 0.00005, 0.0001,
+                                                                 0.0002,  0.0005,  0.001,   0.005};
+
+prometheus::Histogram& makeHistogram(prometheus::Registry& registry, const std::string& name,
+                                     const std::string& help,
+                                     const prometheus::Histogram::BucketBoundaries& bounds) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, bounds);
+}
+
+void addDataPath(prometheus::Registry& registry, const PacketCounters& counters) {
+  addCounter(registry, "lugfork_openings_total", "Openings of flows placed.", counters.openings);
+  addCounter(registry, "lugfork_reopenings_total", "Openings placed again after silence.",
+             counters.reopenings);
+  addCounter(registry, "lugfork_forwards_total", "Packets of open flows forwarded.",
+             counters.forwards);
+  for (std::size_t index = 0; index < kReasonCount; ++index) {
+    addCounter(registry, "lugfork_resets_total", "Resets sent to callers.",
+               counters.resets_by_reason[index],
+               {{"reason", toString(static_cast<Reason>(index))}});
+  }
+  const char* help = "Packets dropped.";
+  addCounter(registry, "lugfork_packets_dropped_total", help, counters.drops_unknown_backend,
+             {{"cause", "unknown_backend"}});
+  addCounter(registry, "lugfork_packets_dropped_total", help, counters.drops_not_certain,
+             {{"cause", "not_certain"}});
+}
+
+void addSockets(prometheus::Registry& registry, const PacketSocketCounters& sockets) {
+  addCounter(registry, "lugfork_packets_received_total", "Packets received.",
+             sockets.packets_received);
+  for (std::size_t index = 0; index < kPacketErrorCount; ++index) {
+    addCounter(registry, "lugfork_packets_dropped_total", "Packets dropped.",
+               sockets.packets_invalid[index],
+               {{"cause", toString(static_cast<PacketError>(index))}});
+  }
+}
+
+void addFollower(prometheus::Registry& registry, const std::string& view,
+                 const ViewFollower& follower) {
+  const prometheus::Labels labels = {{"view", view}};
+  const ViewFollowerCounters& counters = follower.counters();
+  addCounter(registry, "lugfork_platform_pages_total", "Pages read.", counters.pages, labels);
+  addCounter(registry, "lugfork_platform_watches_total", "Watches made.", counters.watches, labels);
+  addCounter(registry, "lugfork_platform_full_reads_total", "Full reads begun.",
+             counters.full_reads, labels);
+  for (std::size_t index = 0; index <= static_cast<std::size_t>(SourceError::Last); ++index) {
+    addCounter(registry, "lugfork_platform_errors_total", "Calls without a good answer.",
+               counters.errors[index],
+               {{"view", view}, {"cause", toString(static_cast<SourceError>(index))}});
+  }
+  addGauge(registry, "lugfork_view_age_seconds", "Time since the platform's last answer.",
+           std::chrono::duration<double>(follower.age()).count(), labels);
+}
+
+}  // namespace
+
+PacketMetrics::PacketMetrics()
+    : handshake_(makeHistogram(histograms_, "lugfork_handshake_seconds",
+                               "From a flow's opening to the caller's next packet.",
+                               kHandshakeBounds)),
+      handling_(makeHistogram(histograms_, "lugfork_packet_handling_seconds",
+                              "Time in which a packet was handled.", kHandlingBounds)) {}
+
+std::string PacketMetrics::render(const PacketNode& node, const PacketSocketCounters& sockets,
+                                  std::uint64_t log_lines_left_out) const {
+  prometheus::Registry registry;
+  addDataPath(registry, node.packetCounters());
+  addSockets(registry, sockets);
+  addFollower(registry, "routes", node.routesFollower());
+  addFollower(registry, "servers", node.serversFollower());
+  addCounter(registry, "lugfork_platform_records_invalid_total", "Items that can't be read.",
+             node.counters().records_invalid);
+  addCounter(registry, "lugfork_log_lines_left_out_total", "Log lines left out by the limit.",
+             log_lines_left_out);
+  addGauge(registry, "lugfork_routes_version", "Version of the routes in force.",
+           static_cast<double>(node.routesVersion()));
+  addGauge(registry, "lugfork_ready", "1 while callers may be sent here.", node.isReady() ? 1 : 0);
+  const prometheus::TextSerializer serializer;
+  return serializer.Serialize(registry.Collect()) + serializer.Serialize(histograms_.Collect());
+}
+
+}  // namespace lugfork
--- a/src/runtime/udp_endpoint.cc
+++ b/src/runtime/udp_endpoint.cc
@@ -22,14 +22,17 @@
 
 }  // namespace
 
-UdpEndpoint::UdpEndpoint(boost::asio::io_context& io_context, Endpoint address, Handler handler)
+UdpEndpoint::UdpEndpoint(boost::asio::io_context& io_context, Endpoint address, Handler handler,
+                         Receiving receiving)
     : socket_(io_context, udp::v4()), handler_(std::move(handler)) {
   socket_.bind(toAsio(address));
   socket_.non_blocking(true);
   boost::system::error_code ignored;
   socket_.set_option(boost::asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
   socket_.set_option(boost::asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
-  receiveNext();
+  if (receiving == Receiving::AtOnce) {
+    receiveNext();
+  }
 }
 
 void UdpEndpoint::sendDatagram(Endpoint destination, const Datagram& datagram) {
--- a/src/runtime/udp_endpoint.h
+++ b/src/runtime/udp_endpoint.h
@@ -15,11 +15,18 @@
  public:
   using Handler = std::function<void(std::span<const std::uint8_t>, Endpoint)>;
 
+  /** Whether datagrams are read from the start, or wait in the socket until startReceiving(). */
+  enum class Receiving { AtOnce, Later };
+
   /**
    * Binds the address; port 0 takes any free port.
    * @throws boost::system::system_error where the address can't be bound.
    */
-  UdpEndpoint(boost::asio::io_context& io_context, Endpoint address, Handler handler);
+  UdpEndpoint(boost::asio::io_context& io_context, Endpoint address, Handler handler,
+              Receiving receiving = Receiving::AtOnce);
+
+  /** Begins to read datagrams; to be called once, where the socket was made to receive later. */
+  void startReceiving() { receiveNext(); }
 
   void sendDatagram(Endpoint destination, const Datagram& datagram) override;
   void sendBytes(Endpoint destination, std::span<const std::uint8_t> bytes);
--- /dev/null
+++ b/tests/balancer/packet_node_test.cc
@@ -0,0 +1,140 @@
+#include "balancer/packet_node.h"
+
+#include <catch2/catch.hpp>
+
+#include "discovery/discovery_fixture.h"
+
+namespace lugfork {
+namespace {
+
+const std::string kRoutes = "routes/";
+const std::string kServers = "servers/";
+
+/** Reads items whose value is "route", "server" or broken. */
+class FakeDecoder : public RecordDecoder {
+ public:
+  Result<PlatformRecord, RecordProblem> decode(const std::string& key,
+                                               const std::string& value) const override {
+    if (value == "route") {
+      return PlatformRecord(RouteTable{7, {{kListen, {{"listen", 1}}}}});
+    }
+    if (value == "server" || value == "draining") {
+      ServerRecord record;
+      record.incarnation = key.back();
+      record.name = key;
+      record.service = "listen";
+      record.zone = "lac";
+      record.address = addressOf(static_cast<std::uint32_t>(key.back()));
+      record.state = value == "server" ? ServerState::Ready : ServerState::Draining;
+      return PlatformRecord(record);
+    }
+    return RecordProblem{"broken"};
+  }
+};
+
+struct PacketNodeHarness : PacketSender {
+  PacketNodeHarness() {
+    node.setCompletionCallback([this] { ++completions; });
+    node.start();
+  }
+
+  void forwardPacket(const Backend& backend, CompactToken) override {
+    forwarded.push_back(backend.name);
+  }
+  void resetCaller(const FlowPacket&) override { ++resets; }
+
+  void read(const std::string& prefix, std::vector<Item> items) {
+    source.answerPage(prefix, ItemPage{std::move(items), false, 10});
+    source.answerWatch(prefix, ItemChanges{{}, 10});
+    scheduler.advance(milliseconds(10));
+  }
+
+  void change(const std::string& prefix, const ItemChange& change) {
+    source.answerWatch(prefix, ItemChanges{{change}, change.item.revision});
+    scheduler.advance(milliseconds(100));
+  }
+
+  void open(std::uint16_t port, Endpoint service = kListen) {
+    FlowPacket packet;
+    packet.caller = {kCaller.address, port};
+    packet.service = service;
+    packet.opens = true;
+    node.onPacket(packet);
+  }
+
+  ManualTimeSource time;
+  ManualScheduler scheduler{time};
+  ManualSource source;
+  NullEventLog log;
+  FakeDecoder decoder;
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
+  PacketNode node{PacketNodeSettings(),
+                  {kRoutes, kServers, decoder},
+                  source,
+                  *this,
+                  scheduler,
+                  time,
+                  *random,
+                  log};
+  std::vector<std::string> forwarded;
+  int resets = 0;
+  int completions = 0;
+};
+
+TEST_CASE("a node is ready once routes and servers are known", "[packet_node]") {
+  PacketNodeHarness harness;
+  harness.read(kRoutes, {item("routes/all", 2, "route")});
+  CHECK_FALSE(harness.node.isReady());
+  harness.read(kServers, {item("servers/a", 3, "server")});
+  CHECK(harness.node.isReady());
+  CHECK(harness.completions == 1);
+  harness.open(5000);
+  CHECK(harness.forwarded == std::vector<std::string>{"servers/a"});
+}
+
+TEST_CASE("the first routes may come after the first full read", "[packet_node]") {
+  PacketNodeHarness harness;
+  harness.read(kRoutes, {});
+  harness.read(kServers, {item("servers/a", 3, "server")});
+  CHECK_FALSE(harness.node.isReady());
+  harness.open(5000);
+  CHECK(harness.resets == 0);
+  harness.change(kRoutes, written("routes/all", 12, "route"));
+  CHECK(harness.node.isReady());
+  CHECK(harness.completions == 1);
+}
+
+TEST_CASE("a draining server gets no new flows", "[packet_node]") {
+  PacketNodeHarness harness;
+  harness.read(kRoutes, {item("routes/all", 2, "route")});
+  harness.read(kServers, {item("servers/a", 3, "server"), item("servers/b", 4, "server")});
+  harness.change(kServers, written("servers/a", 12, "draining"));
+  for (std::uint16_t port = 1; port <= 50; ++port) {
+    harness.open(port);
+  }
+  CHECK(harness.forwarded == std::vector<std::string>(50, "servers/b"));
+}
+
+TEST_CASE("a broken item changes nothing and is counted", "[packet_node]") {
+  PacketNodeHarness harness;
+  harness.read(kRoutes, {item("routes/all", 2, "route")});
+  harness.read(kServers, {item("servers/a", 3, "server")});
+  harness.change(kServers, written("servers/a", 12, "garbage"));
+  harness.change(kRoutes, written("routes/all", 13, "garbage"));
+  CHECK(harness.node.counters().records_invalid == 2);
+  harness.open(5000);
+  CHECK(harness.forwarded == std::vector<std::string>{"servers/a"});
+}
+
+TEST_CASE("a leaving node is not ready and still serves", "[packet_node]") {
+  PacketNodeHarness harness;
+  harness.read(kRoutes, {item("routes/all", 2, "route")});
+  harness.read(kServers, {item("servers/a", 3, "server")});
+  harness.node.startLeaving();
+  CHECK_FALSE(harness.node.isReady());
+  harness.open(5000);
+  CHECK(harness.forwarded.size() == 1);
+}
+
+}  // namespace
+}  // namespace lugfork
--- /dev/null
+++ b/tests/discovery/backend_registry_test.cc
@@ -0,0 +1,98 @@
+#include "discovery/backend_registry.h"
+
+#include <catch2/catch.hpp>
+
+#include "flow/compact_token.h"
+#include "flow/router_harness.h"
+
+namespace lugfork {
+namespace {
+
+const Duration kRetiredFor = seconds(60);
+
+ServerRecord server(std::uint64_t incarnation, const std::string& service, Endpoint address,
+                    ServerState state = ServerState::Ready) {
+  ServerRecord record;
+  record.incarnation = incarnation;
+  record.name = "i-" + std::to_string(incarnation);
+  record.service = service;
+  record.address = address;
+  record.zone = "lac";
+  record.slots = 2;
+  record.state = state;
+  return record;
+}
+
+struct RegistryHarness {
+  ManualTimeSource time;
+  NullEventLog log;
+  BackendRegistry registry{kRetiredFor, time, log};
+
+  const Backend* find(const ConfigurationViewPtr& view, std::uint64_t incarnation) const {
+    return view->backend(backendIdOfIncarnation(incarnation));
+  }
+};
+
+TEST_CASE("a route gives flows to its services by weight", "[backend_registry]") {
+  RegistryHarness harness;
+  harness.registry.onRoutes({7, {{kListen, {{"listen", 90}, {"ingest", 10}}}}}, 1);
+  const auto view = harness.registry.makeConfiguration();
+  const Route* route = view->routeAt(kListen);
+  REQUIRE(route != nullptr);
+  CHECK(view->routeAt(kIngest) == nullptr);
+  std::map<std::string, int> counts;
+  for (std::uint64_t hash = 0; hash < 1000; ++hash) {
+    ++counts[view->service(*route->serviceFor(hash))->name];
+  }
+  CHECK(counts == std::map<std::string, int>{{"ingest", 100}, {"listen", 900}});
+}
+
+TEST_CASE("a route without any weight serves nobody", "[backend_registry]") {
+  CHECK_FALSE(Route{kListen, {{ServiceId(1), 0}}}.serviceFor(5).has_value());
+  CHECK_FALSE(Route{kListen, {}}.serviceFor(5).has_value());
+}
+
+TEST_CASE("an older version of the routes is ignored", "[backend_registry]") {
+  RegistryHarness harness;
+  harness.registry.onRoutes({7, {{kListen, {{"listen", 1}}}}}, 10);
+  harness.registry.onRoutes({6, {{kIngest, {{"listen", 1}}}}}, 11);
+  CHECK(harness.registry.routesVersion() == 7);
+  CHECK(harness.registry.makeConfiguration()->routeAt(kListen) != nullptr);
+}
+
+TEST_CASE("a server that is gone stays reachable and gets nothing new", "[backend_registry]") {
+  RegistryHarness harness;
+  harness.registry.onServer("servers/a", server(0xa, "listen", addressOf(1)), 3, 3);
+  harness.registry.onServerGone("servers/a", 9);
+  auto view = harness.registry.makeConfiguration();
+  const Backend* backend = harness.find(view, 0xa);
+  REQUIRE(backend != nullptr);
+  CHECK(backend->retired);
+  CHECK(view->backendsOf(backend->service).empty());
+  CHECK(view->backendAt(addressOf(1)) == nullptr);
+
+  harness.time.elapsed += kRetiredFor + seconds(1);
+  CHECK(harness.registry.forgetRetired());
+  view = harness.registry.makeConfiguration();
+  CHECK(harness.find(view, 0xa) == nullptr);
+}
+
+TEST_CASE("a server that comes back to the platform is ready again", "[backend_registry]") {
+  RegistryHarness harness;
+  harness.registry.onServer("servers/a", server(0xa, "listen", addressOf(1)), 3, 3);
+  harness.registry.onServerGone("servers/a", 9);
+  harness.registry.onServer("servers/a", server(0xa, "listen", addressOf(1)), 12, 12);
+  const auto view = harness.registry.makeConfiguration();
+  CHECK_FALSE(harness.find(view, 0xa)->retired);
+}
+
+TEST_CASE("a draining server is kept as leaving", "[backend_registry]") {
+  RegistryHarness harness;
+  harness.registry.onServer("servers/a", server(0xa, "listen", addressOf(1)), 3, 3);
+  harness.registry.onServer("servers/a", server(0xa, "listen", addressOf(1), ServerState::Draining),
+                            5, 3);
+  CHECK(harness.find(harness.registry.makeConfiguration(), 0xa)->draining);
+}
+
+}  // namespace
+}  // namespace lugfork
--- /dev/null
+++ b/tests/discovery/view_follower_test.cc
@@ -0,0 +1,160 @@
+#include "discovery/view_follower.h"
+
+#include <catch2/catch.hpp>
+
+#include "discovery/discovery_fixture.h"
+
+namespace lugfork {
+namespace {
+
+const std::string kPrefix = "things/";
+
+/** A follower, what it told, and the store that the test plays. */
+struct FollowerHarness : ViewFollowerHost {
+  FollowerHarness() { follower.start(); }
+
+  void onItems(const std::vector<ItemChange>& changes) override {
+    for (const ItemChange& change : changes) {
+      if (change.deleted) {
+        known.erase(change.item.key);
+      } else {
+        known[change.item.key] = change.item.revision;
+      }
+    }
+  }
+  void onComplete() override { ++completions; }
+  void onSourceLost(SourceError cause) override { losses.push_back(cause); }
+  void onSourceRegained(Duration) override { ++regains; }
+
+  void answerPage(Result<ItemPage, SourceError> answer) {
+    source.answerPage(kPrefix, std::move(answer));
+  }
+  void answerWatch(Result<ItemChanges, SourceError> answer) {
+    source.answerWatch(kPrefix, std::move(answer));
+    scheduler.advance(settings.watch_pause);
+  }
+
+  /** Goes through a full read with these items and the watch that completes it. */
+  void complete(std::vector<Item> items, Revision at) {
+    answerPage(ItemPage{std::move(items), false, at});
+    answerWatch(ItemChanges{{}, at});
+  }
+
+  ManualTimeSource time;
+  ManualScheduler scheduler{time};
+  ManualSource source;
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
+  ViewFollowerSettings settings;
+  ViewFollower follower{kPrefix, settings, source, scheduler, time, *random, *this};
+  std::map<std::string, Revision> known;
+  std::vector<SourceError> losses;
+  int completions = 0;
+  int regains = 0;
+};
+
+using Known = std::map<std::string, Revision>;
+
+TEST_CASE("a view is complete after all pages and one watch", "[view_follower]") {
+  FollowerHarness harness;
+  harness.answerPage(ItemPage{{item("things/a", 1)}, true, 10});
+  CHECK(harness.source.page_requests.back().after_key == "things/a");
+  harness.answerPage(ItemPage{{item("things/b", 12)}, false, 12});
+  CHECK_FALSE(harness.follower.isComplete());
+  // Pages form no snapshot: the watch goes on from the first one.
+  CHECK(harness.source.watch_requests.back().after == 10);
+  harness.answerWatch(ItemChanges{{deleted("things/a", 11)}, 12});
+  CHECK(harness.follower.isComplete());
+  CHECK(harness.completions == 1);
+  CHECK(harness.known == Known{{"things/b", 12}});
+}
+
+TEST_CASE("nothing goes back, in whichever order answers come", "[view_follower]") {
+  FollowerHarness harness;
+  harness.complete({item("things/a", 5)}, 9);
+  harness.answerWatch(ItemChanges{{written("things/a", 20), written("things/a", 15)}, 20});
+  CHECK(harness.known == Known{{"things/a", 20}});
+  SECTION("also after a full read that lags behind") {
+    harness.answerWatch(SourceError::HistoryGone);
+    harness.complete({item("things/a", 15)}, 16);
+    CHECK(harness.known == Known{{"things/a", 20}});
+  }
+  SECTION("a key that was deleted is not brought back by a page that lags behind") {
+    harness.answerWatch(ItemChanges{{deleted("things/a", 30)}, 30});
+    harness.answerWatch(SourceError::HistoryGone);
+    harness.complete({item("things/a", 20)}, 21);
+    CHECK(harness.known.empty());
+  }
+}
+
+TEST_CASE("lost history leads to a full read that finds deletions", "[view_follower]") {
+  FollowerHarness harness;
+  harness.complete({item("things/a", 5), item("things/b", 6)}, 9);
+  harness.answerWatch(SourceError::HistoryGone);
+  CHECK(harness.source.page_requests.back().consistency == ReadConsistency::Latest);
+  CHECK(harness.known.size() == 2);
+  harness.complete({item("things/b", 6)}, 40);
+  CHECK(harness.known == Known{{"things/b", 6}});
+  CHECK(harness.completions == 1);
+}
+
+TEST_CASE("a key written after the first page is not taken for deleted", "[view_follower]") {
+  FollowerHarness harness;
+  harness.complete({item("things/a", 5)}, 9);
+  harness.answerWatch(ItemChanges{{written("things/c", 50)}, 50});
+  harness.answerWatch(SourceError::HistoryGone);
+  // A replica that does not know the newest key yet.
+  harness.complete({item("things/a", 5)}, 45);
+  CHECK(harness.known == Known{{"things/a", 5}, {"things/c", 50}});
+}
+
+TEST_CASE("no failure changes what is known", "[view_follower]") {
+  const SourceError error =
+      GENERATE(SourceError::NotFound, SourceError::Throttled, SourceError::Unavailable,
+               SourceError::NoAnswer, SourceError::Malformed);
+  FollowerHarness harness;
+  harness.complete({item("things/a", 5)}, 9);
+  harness.answerWatch(error);
+  CHECK(harness.known == Known{{"things/a", 5}});
+  CHECK(harness.losses == std::vector<SourceError>{error});
+  CHECK(harness.follower.counters().errors[static_cast<std::size_t>(error)] == 1);
+
+  SECTION("the same watch is made again after a pause") {
+    CHECK_FALSE(harness.source.hasWatch(kPrefix));
+    harness.scheduler.advance(harness.settings.retry_first);
+    REQUIRE(harness.source.hasWatch(kPrefix));
+    CHECK(harness.source.watch_requests.back().after == 9);
+    harness.answerWatch(ItemChanges{{written("things/b", 10)}, 10});
+    CHECK(harness.regains == 1);
+    CHECK(harness.known.size() == 2);
+  }
+  SECTION("pauses grow to a limit, and one loss is told once") {
+    for (int failure = 0; failure < 20; ++failure) {
+      harness.scheduler.advance(harness.settings.retry_longest);
+      REQUIRE(harness.source.hasWatch(kPrefix));
+      harness.answerWatch(error);
+    }
+    CHECK(harness.losses.size() == 1);
+  }
+}
+
+TEST_CASE("a page that fails is read again, and the read goes on", "[view_follower]") {
+  FollowerHarness harness;
+  harness.answerPage(ItemPage{{item("things/a", 1)}, true, 10});
+  harness.answerPage(SourceError::Throttled);
+  harness.scheduler.advance(harness.settings.retry_longest);
+  CHECK(harness.source.page_requests.back().after_key == "things/a");
+  harness.complete({item("things/b", 2)}, 10);
+  CHECK(harness.known.size() == 2);
+}
+
+TEST_CASE("a view is fresh only while the store answers", "[view_follower]") {
+  FollowerHarness harness;
+  CHECK_FALSE(harness.follower.isFresh());
+  harness.complete({}, 9);
+  CHECK(harness.follower.isFresh());
+  harness.scheduler.advance(harness.settings.watch_wait + harness.settings.fresh_for + seconds(1));
+  CHECK_FALSE(harness.follower.isFresh());
+}
+
+}  // namespace
+}  // namespace lugfork
--- /dev/null
+++ b/tests/flow/compact_token_test.cc
@@ -0,0 +1,36 @@
+#include "flow/compact_token.h"
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+namespace lugfork {
+namespace {
+
+const CompactTokenKey kKey = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16};
+
+TEST_CASE("a compact token names the back end of its flow", "[compact_token]") {
+  rc::prop("decode undoes encode", [](std::uint64_t high, std::uint64_t low, std::uint32_t id) {
+    const CompactTokenCodec codec(kKey);
+    const FlowId flow{high, low};
+    RC_ASSERT(codec.decode(flow, codec.encode(flow, BackendId(id))) == BackendId(id));
+  });
+}
+
+TEST_CASE("a compact token of another flow or key names another back end", "[compact_token]") {
+  const CompactTokenCodec codec(kKey);
+  const FlowId flow = flowIdOf({0x64400007, 40001}, {0xc6120001, 443});
+  const FlowId other_port = flowIdOf({0x64400007, 40002}, {0xc6120001, 443});
+  const FlowId other_service = flowIdOf({0x64400007, 40001}, {0xc6120002, 443});
+  const CompactToken token = codec.encode(flow, BackendId(7));
+  CHECK(codec.decode(other_port, token) != BackendId(7));
+  CHECK(codec.decode(other_service, token) != BackendId(7));
+  CHECK(CompactTokenCodec(CompactTokenKey{}).decode(flow, token) != BackendId(7));
+}
+
+TEST_CASE("incarnations of more than 32 bits are folded", "[compact_token]") {
+  CHECK(backendIdOfIncarnation(0xf3030f7cad) != backendIdOfIncarnation(0x030f7cad));
+  CHECK(backendIdOfIncarnation(0xf3030f7cad) == backendIdOfIncarnation(0xf3030f7cad));
+}
+
+}  // namespace
+}  // namespace lugfork
--- /dev/null
+++ b/tests/platform/packet_codec_test.cc
@@ -0,0 +1,109 @@
+#include "packet_codec.h"
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+namespace lugfork::platform {
+namespace {
+
+using Bytes = std::vector<std::uint8_t>;
+
+/** The page's opening packet, from 100.64.0.7:40001 to 198.18.0.1:443. */
+const Bytes kOpening = {0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x64, 0x40, 0x00, 0x07, 0x01,
+                        0xbb, 0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41, 0x11, 0x22, 0x33, 0x44,
+                        0x00, 0x00, 0x00, 0x00, 0x04, 0x00, 0xa1, 0xb2, 0xc3, 0xd5};
+/** The page's reset of that flow. */
+const Bytes kReset = {0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0xc6, 0x12, 0x00, 0x01, 0x9c,
+                      0x41, 0x64, 0x40, 0x00, 0x07, 0x01, 0xbb, 0x00, 0x00, 0x00, 0x00,
+                      0x00, 0x00, 0x00, 0x00, 0x40, 0x00, 0x00, 0x00, 0x00, 0x00};
+constexpr std::size_t kFlagsAt = 26;
+
+const PlatformPacketCodec kCodec;
+
+TEST_CASE("the page's opening packet is read", "[packet_codec]") {
+  const auto packet = kCodec.decode(kOpening);
+  REQUIRE(packet);
+  CHECK(packet.value().caller == Endpoint{0x64400007, 40001});
+  CHECK(packet.value().service == Endpoint{0xc6120001, 443});
+  CHECK(packet.value().opens);
+  CHECK_FALSE(packet.value().closes);
+  CHECK(packet.value().sequence == 0x11223344);
+  CHECK(packet.value().payload_bytes == 0);
+}
+
+TEST_CASE("the page's reset is written", "[packet_codec]") {
+  CHECK(kCodec.encodeReset(kCodec.decode(kOpening).value()) == kReset);
+}
+
+TEST_CASE("a reset of an open flow has the sequence that the caller expects", "[packet_codec]") {
+  Bytes data = kOpening;
+  data[kFlagsAt] = 2;
+  data[22] = 0x0a;
+  data[25] = 0x0b;
+  const Bytes reset = kCodec.encodeReset(kCodec.decode(data).value());
+  CHECK(Bytes(reset.begin() + 18, reset.begin() + 22) == Bytes{0x0a, 0, 0, 0x0b});
+}
+
+TEST_CASE("a packet goes to the server unchanged but for its token", "[packet_codec]") {
+  rc::prop("only the echo differs, behind the incarnation", [](std::uint64_t incarnation,
+                                                               std::uint32_t token) {
+    const auto size = *rc::gen::inRange<std::size_t>(0, kMaxDataBytes + 1);
+    Bytes packet =
+        *rc::gen::container<Bytes>(kHeadBytes + size, rc::gen::arbitrary<std::uint8_t>());
+    Backend backend;
+    backend.incarnation = incarnation;
+    Bytes datagram;
+    kCodec.encodeForBackend(packet, backend, CompactToken{token}, datagram);
+    RC_ASSERT(datagram.size() == packet.size() + kServerPrefixBytes);
+    for (std::size_t index = 0; index < kServerPrefixBytes; ++index) {
+      RC_ASSERT(datagram[index] == static_cast<std::uint8_t>(incarnation >> (56 - 8 * index)));
+    }
+    for (std::size_t index = 0; index < 4; ++index) {
+      packet[2 + index] = static_cast<std::uint8_t>(token >> (24 - 8 * index));
+    }
+    RC_ASSERT(std::equal(packet.begin(), packet.end(), datagram.begin() + kServerPrefixBytes));
+  });
+}
+
+TEST_CASE("datagrams that are no packets are told apart", "[packet_codec]") {
+  Bytes bytes = kOpening;
+  PacketError expected = PacketError::TooShort;
+  SECTION("empty") {
+    bytes.clear();
+  }
+  SECTION("cut in the head") {
+    bytes.pop_back();
+  }
+  SECTION("more data than stated") {
+    bytes.push_back(1);
+    expected = PacketError::WrongLength;
+  }
+  SECTION("less data than stated") {
+    bytes[1] = 5;
+    expected = PacketError::WrongLength;
+  }
+  SECTION("too much data") {
+    bytes.resize(kHeadBytes + kMaxDataBytes + 1);
+    bytes[0] = static_cast<std::uint8_t>((kMaxDataBytes + 1) >> 8);
+    bytes[1] = static_cast<std::uint8_t>((kMaxDataBytes + 1) & 0xff);
+    expected = PacketError::WrongLength;
+  }
+  SECTION("unknown flags") {
+    bytes[kFlagsAt] = 4 | 1;
+    expected = PacketError::UnknownFlags;
+  }
+  SECTION("a server's answer to an opening") {
+    bytes[kFlagsAt] = 4 | 2;
+    expected = PacketError::NotFromCaller;
+  }
+  const auto packet = kCodec.decode(bytes);
+  REQUIRE_FALSE(packet);
+  CHECK(packet.error() == expected);
+}
+
+TEST_CASE("no datagram makes the codec fail otherwise", "[packet_codec]") {
+  rc::prop("decode takes any bytes", [](const Bytes& bytes) { (void)kCodec.decode(bytes); });
+}
+
+}  // namespace
+}  // namespace lugfork::platform
