Pass over back ends that fall silent, and reset the flows of dead ones

Ruled out: waiting for copies of openings alone (few new flows a node and server; data of open flows tells sooner); OutlierDetector as it is (five failures, no time without life). Change: SilenceDetector learns from openings without a next packet, copies, and data that is sent again. Suspects get no new flows, never more than half of a service; flows of dead back ends are reset so that callers try elsewhere at once. A copy of an opening at a node that did not see the first goes to another back end than the first.

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -61,12 +61,14 @@
       placement_(settings_.placement, makePlacementPolicy(settings_.placement_policy), loads_,
                  time_source, random),
       decider_(settings_.decider, time_source, placement_, *this),
-      observer_(settings_.observed_flows, time_source),
+      observer_(settings_.observer, time_source),
+      silence_(settings_.silence, time_source),
       tokens_(settings_.token_key),
-      router_(decider_, placement_, observer_, tokens_, sender, *this, log),
+      router_(decider_, silence_, observer_, tokens_, sender, *this, log),
       routes_(*this, "routes", layout.routes_prefix),
       servers_(*this, "servers", layout.servers_prefix) {
   decider_.setCompactTokens(&tokens_);
+  placement_.setSuspicion(&silence_);
 }
 
 void PacketNode::start() {
@@ -129,7 +131,9 @@
 void PacketNode::apply() {
   apply_pending_ = false;
   ++counters_.configurations_applied;
-  decider_.setConfiguration(registry_.makeConfiguration());
+  const ConfigurationViewPtr configuration = registry_.makeConfiguration();
+  silence_.retain(*configuration);
+  decider_.setConfiguration(configuration);
   // The operator's first routes may come after the first full read.
   if (isComplete() && on_complete_) {
     std::exchange(on_complete_, nullptr)();
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -16,14 +16,14 @@
   std::string zone;
   CompactTokenKey token_key{};
   std::string placement_policy = "bounded_rendezvous";
-  /** Flows remembered to learn from; 48 bytes each. */
-  std::size_t observed_flows = 4096;
+  FlowObserverSettings observer;
   /** Time for which a server that is gone from the platform stays reachable for open flows. */
   Duration retired_for = seconds(90);
   /** Time for which changes of back ends are collected before they come into force. */
   Duration apply_delay = milliseconds(5);
   FlowDeciderSettings decider;
   PlacementSettings placement;
+  SilenceSettings silence;
   LoadEstimateSettings load;
   ViewFollowerSettings follower;
 };
@@ -118,6 +118,7 @@
   PlacementEngine placement_;
   FlowDecider decider_;
   FlowObserver observer_;
+  SilenceDetector silence_;
   const CompactTokenCodec tokens_;
   PacketRouter router_;
   Feed routes_;
--- a/src/flow/flow_observer.cc
+++ b/src/flow/flow_observer.cc
@@ -2,6 +2,9 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace lugfork {
 
 namespace {
@@ -18,8 +21,10 @@
 
 }  // namespace
 
-FlowObserver::FlowObserver(std::size_t size, const TimeSource& time_source)
-    : time_source_(time_source), flows_(size == 0 ? 1 : size) {}
+FlowObserver::FlowObserver(FlowObserverSettings settings, const TimeSource& time_source)
+    : settings_(settings),
+      time_source_(time_source),
+      flows_(std::max<std::size_t>(settings.size, 1)) {}
 
 const ObservedFlow* FlowObserver::find(const FlowId& flow) const {
   const ObservedFlow& slot = slotOf(flow);
@@ -32,6 +37,7 @@
   slot.flow = packet.flow();
   slot.backend = backend;
   slot.next_sequence = packet.sequence;
+  slot.progress_sequence = packet.sequence;
   slot.progress_at = time_source_.monotonicTime();
 }
 
@@ -40,32 +46,50 @@
   ObservedFlow& slot = slotOf(flow);
   const std::uint32_t end = packet.sequence + packet.payload_bytes;
   const bool is_new = slot.flow != flow || slot.backend != backend;
-  const bool has_progress = is_new || !slot.open || isAfter(packet.acknowledged, slot.acknowledged);
   if (is_new) {
     slot = ObservedFlow();
     slot.flow = flow;
     slot.backend = backend;
-    slot.next_sequence = packet.sequence;
+    slot.next_sequence = end;
+    slot.progress_sequence = packet.sequence;
+    slot.acknowledged = packet.acknowledged;
+    slot.open = true;
+    slot.progress_at = time_source_.monotonicTime();
+    return {};
   }
   const bool repeats = packet.payload_bytes > 0 && !isAfter(end, slot.next_sequence);
   if (isAfter(end, slot.next_sequence)) {
     slot.next_sequence = end;
   }
-  if (has_progress) {
-    const MonotonicTime now = time_source_.monotonicTime();
-    const bool ends_handshake = !is_new && !slot.open;
-    const Duration handshake = ends_handshake ? now - slot.progress_at : Duration::zero();
-    slot.open = true;
-    slot.acknowledged = packet.acknowledged;
-    slot.repetitions = 0;
-    slot.progress_at = now;
-    return {is_new ? FlowEvidence::None : FlowEvidence::Progress, handshake};
+  const bool window_moved = isAfter(end, slot.progress_sequence + settings_.window_bytes);
+  if (!slot.open || window_moved || isAfter(packet.acknowledged, slot.acknowledged)) {
+    return noteProgress(slot, packet);
   }
-  if (!repeats) {
-    return {};
+  if (repeats && noteRepetition(slot)) {
+    return {FlowEvidence::Silence, Duration::zero(), slot.repetitions};
+  }
+  return {};
+}
+
+FlowObservation FlowObserver::noteProgress(ObservedFlow& flow, const FlowPacket& packet) const {
+  const MonotonicTime now = time_source_.monotonicTime();
+  const Duration handshake = flow.open ? Duration::zero() : now - flow.progress_at;
+  flow.open = true;
+  flow.acknowledged = packet.acknowledged;
+  flow.progress_sequence = flow.next_sequence;
+  flow.progress_at = now;
+  return {FlowEvidence::Progress, handshake, std::exchange(flow.repetitions, std::uint16_t{0})};
+}
+
+bool FlowObserver::noteRepetition(ObservedFlow& flow) const {
+  const MonotonicTime now = time_source_.monotonicTime();
+  const MonotonicTime last = std::max(flow.repeated_at, flow.progress_at);
+  if (now - last < settings_.repetition_gap) {
+    return false;
   }
-  ++slot.repetitions;
-  return {FlowEvidence::Silence, Duration::zero()};
+  flow.repeated_at = now;
+  ++flow.repetitions;
+  return true;
 }
 
 void FlowObserver::forget(const FlowId& flow) {
--- a/src/flow/flow_observer.h
+++ b/src/flow/flow_observer.h
@@ -22,6 +22,19 @@
   FlowEvidence evidence = FlowEvidence::None;
   /** Time since the opening, where this packet ends the handshake; else zero. */
   Duration handshake{};
+  /** Repetitions of the flow since its last progress, this one included. */
+  std::uint16_t repetitions = 0;
+};
+
+/** What is known of how callers send. */
+struct FlowObserverSettings {
+  /** Flows remembered at most. */
+  std::size_t size = 4096;
+  /** Most bytes that a caller sends without an acknowledgement: a later byte shows that one came.
+   */
+  std::uint32_t window_bytes = 16 * 1200;
+  /** Repeated packets closer together than this belong to one repetition. */
+  Duration repetition_gap = milliseconds(150);
 };
 
 /** What is remembered of a flow that passed here lately. */
@@ -31,10 +44,13 @@
   /** Number after the last byte that the caller sent. */
   std::uint32_t next_sequence = 0;
   std::uint32_t acknowledged = 0;
+  /** Number after the last byte sent when the last progress was seen. */
+  std::uint32_t progress_sequence = 0;
   /** Repetitions since the last progress. */
   std::uint16_t repetitions = 0;
   bool open = false;
   MonotonicTime progress_at;
+  MonotonicTime repeated_at;
 };
 
 /**
@@ -43,8 +59,7 @@
  */
 class FlowObserver {
  public:
-  /** @param size flows remembered at most. */
-  FlowObserver(std::size_t size, const TimeSource& time_source);
+  FlowObserver(FlowObserverSettings settings, const TimeSource& time_source);
 
   /** @return the flow, or nullptr where it is not remembered. */
   const ObservedFlow* find(const FlowId& flow) const;
@@ -62,6 +77,12 @@
   ObservedFlow& slotOf(const FlowId& flow);
   const ObservedFlow& slotOf(const FlowId& flow) const;
 
+  FlowObservation noteProgress(ObservedFlow& flow, const FlowPacket& packet) const;
+
+  /** Notes data that was sent before. @return true if that is a repetition of its own. */
+  bool noteRepetition(ObservedFlow& flow) const;
+
+  const FlowObserverSettings settings_;
   const TimeSource& time_source_;
   std::vector<ObservedFlow> flows_;
 };
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -2,11 +2,11 @@
 
 namespace lugfork {
 
-PacketRouter::PacketRouter(FlowDecider& decider, PlacementEngine& placement, FlowObserver& observer,
+PacketRouter::PacketRouter(FlowDecider& decider, SilenceDetector& silence, FlowObserver& observer,
                            const CompactTokenCodec& tokens, PacketSender& sender,
                            PacketRouterHost& host, EventLog& log)
     : decider_(decider),
-      placement_(placement),
+      silence_(silence),
       observer_(observer),
       tokens_(tokens),
       sender_(sender),
@@ -32,6 +32,7 @@
   ++counters_.openings;
   counters_.reopenings += silent == BackendId() ? 0 : 1;
   observer_.onPlaced(packet, backend.id);
+  silence_.onOpening(backend.id);
   sender_.forwardPacket(backend, tokens_.encode(packet.flow(), backend.id));
   log_.write(LogLevel::Info, "flow", "flow_placed",
              {{"flow", flowName(packet)},
@@ -44,17 +45,16 @@
 
 BackendId PacketRouter::silentChoice(const FlowPacket& packet) {
   const ObservedFlow* earlier = observer_.find(packet.flow());
-  const bool is_copy = packet.acknowledged > 0 && earlier != nullptr && !earlier->open;
-  if (!is_copy) {
+  if (packet.acknowledged == 0 || (earlier != nullptr && earlier->open)) {
     return BackendId();
   }
-  const Backend* backend = decider_.configuration() == nullptr
-                               ? nullptr
-                               : decider_.configuration()->backend(earlier->backend);
-  if (backend != nullptr) {
-    placement_.onBackendSilent(*backend, FlowKey{packet.flow(), 0});
+  if (earlier != nullptr) {
+    silence_.onOpeningRepeated(earlier->backend, packet.flow());
+    return earlier->backend;
   }
-  return earlier->backend;
+  // The first copy went through another node, which chose as this one would.
+  const auto first = decider_.decideOpening({packet.flow(), packet.service, BackendId()});
+  return first ? first.value().backend->id : BackendId();
 }
 
 void PacketRouter::refuseOpening(const FlowPacket& packet, const PlacementRefusal& refusal) {
@@ -90,31 +90,35 @@
 
 void PacketRouter::onForward(const FlowPacket& packet, const ForwardDecision& forward) {
   const Backend& backend = *decider_.configuration()->backend(forward.backend);
+  learn(packet, backend.id);
+  if (isSurelyGone(packet, backend)) {
+    reset(packet, Reason::BackendGone);
+    observer_.forget(packet.flow());
+    return;
+  }
   ++counters_.forwards;
   sender_.forwardPacket(backend, packet.token);
-  learn(packet, backend);
+  if (packet.closes || packet.aborts) {
+    observer_.forget(packet.flow());
+  }
 }
 
-void PacketRouter::learn(const FlowPacket& packet, const Backend& backend) {
-  const FlowObservation observation = observer_.onContinuation(packet, backend.id);
+void PacketRouter::learn(const FlowPacket& packet, BackendId backend) {
+  const FlowObservation observation = observer_.onContinuation(packet, backend);
   if (observation.handshake > Duration::zero()) {
     host_.onHandshake(observation.handshake);
   }
-  switch (observation.evidence) {
-    case FlowEvidence::Progress:
-      placement_.onBackendProgress(backend.id);
-      break;
-    case FlowEvidence::Silence:
-      placement_.onBackendSilent(backend, FlowKey{packet.flow(), 0});
-      break;
-    case FlowEvidence::None:
-      break;
-  }
-  if (packet.closes || packet.aborts) {
-    observer_.forget(packet.flow());
+  if (observation.evidence == FlowEvidence::Progress) {
+    silence_.onLife(backend, observation.repetitions);
+  } else if (observation.evidence == FlowEvidence::Silence) {
+    silence_.onRepetition(backend, packet.flow(), observation.repetitions);
   }
 }
 
+bool PacketRouter::isSurelyGone(const FlowPacket& packet, const Backend& backend) const {
+  return packet.payload_bytes > 0 && silence_.isDead(backend.id);
+}
+
 void PacketRouter::reset(const FlowPacket& packet, Reason reason) {
   if (packet.aborts) {
     return;
--- a/src/flow/packet_router.h
+++ b/src/flow/packet_router.h
@@ -7,6 +7,7 @@
 #include "flow/flow_decider.h"
 #include "flow/flow_observer.h"
 #include "flow/flow_packet.h"
+#include "flow/silence_detector.h"
 
 namespace lugfork {
 
@@ -39,7 +40,7 @@
  */
 class PacketRouter {
  public:
-  PacketRouter(FlowDecider& decider, PlacementEngine& placement, FlowObserver& observer,
+  PacketRouter(FlowDecider& decider, SilenceDetector& silence, FlowObserver& observer,
                const CompactTokenCodec& tokens, PacketSender& sender, PacketRouterHost& host,
                EventLog& log);
 
@@ -56,10 +57,13 @@
   BackendId silentChoice(const FlowPacket& packet);
   void refuseOpening(const FlowPacket& packet, const PlacementRefusal& refusal);
   void reset(const FlowPacket& packet, Reason reason);
-  void learn(const FlowPacket& packet, const Backend& backend);
+  void learn(const FlowPacket& packet, BackendId backend);
+
+  /** @return true where the back end of an open flow surely does not answer any more. */
+  bool isSurelyGone(const FlowPacket& packet, const Backend& backend) const;
 
   FlowDecider& decider_;
-  PlacementEngine& placement_;
+  SilenceDetector& silence_;
   FlowObserver& observer_;
   const CompactTokenCodec& tokens_;
   PacketSender& sender_;
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -73,13 +73,6 @@
   outliers_.onFailure(backend, attempt, candidatesOf(*service).size_when_made);
 }
 
-void PlacementEngine::onBackendSilent(const Backend& backend, const FlowKey& attempt) {
-  const Service* service = configuration_->service(backend.service);
-  if (service != nullptr && !backend.retired) {
-    outliers_.onFailure(backend, attempt, candidatesOf(*service).size_when_made);
-  }
-}
-
 const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow) {
   std::vector<const Backend*>& backends = list.backends;
   while (!backends.empty()) {
@@ -98,6 +91,7 @@
 bool PlacementEngine::fits(const Backend& backend, const CandidateList& list) const {
   return loads_.acceptsNewWork(backend) && !outliers_.isEjected(backend.id) &&
          (list.ignore_reachability || loads_.looksReachable(backend)) &&
+         (list.ignore_suspicion || !isSuspect(backend)) &&
          !loads_.isFull(backend, settings_.full_load);
 }
 
@@ -132,16 +126,20 @@
   list.made_at = time_source_.monotonicTime();
   list.backends.clear();
   std::size_t reachable = 0;
+  std::size_t suspects = 0;
   for (const Backend* backend : configuration_->backendsOf(service.id)) {
     if (!service.allowsZone(backend->zone) || loads_.isLeaving(*backend)) {
       continue;
     }
     reachable += loads_.looksReachable(*backend) ? 1 : 0;
+    suspects += isSuspect(*backend) ? 1 : 0;
     list.backends.push_back(backend);
   }
   loads_.refreshService(service.id, list.backends);
   list.ignore_reachability = static_cast<double>(reachable) <
                              settings_.panic_threshold * static_cast<double>(list.backends.size());
+  list.ignore_suspicion = static_cast<double>(suspects) >
+                          settings_.panic_threshold * static_cast<double>(list.backends.size());
   list.size_when_made = list.backends.size();
 }
 
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -34,6 +34,15 @@
   OutlierSettings outliers;
 };
 
+/** What else a node has learnt of back ends. */
+class BackendSuspicion {
+ public:
+  virtual ~BackendSuspicion() = default;
+
+  /** @return true where the back end does not seem to answer now. */
+  virtual bool isSuspect(BackendId backend) const = 0;
+};
+
 /**
  * Chooses the back end of a new flow: candidates are the service's back ends in its allowed zones
  * that may get new work; the policy picks one of them.
@@ -63,8 +72,8 @@
    */
   void onBackendRefusal(const Backend& backend, const FlowKey& attempt, Reason reason);
 
-  /** Takes data-path evidence that a back end does not answer a flow. */
-  void onBackendSilent(const Backend& backend, const FlowKey& attempt);
+  /** Sets what tells of back ends that do not answer; they are passed over. */
+  void setSuspicion(const BackendSuspicion* suspicion) { suspicion_ = suspicion; }
 
   /** Takes data-path evidence that a back end works: a caller confirmed a piece of its answer. */
   void onBackendProgress(BackendId backend) { outliers_.onSuccess(backend); }
@@ -80,11 +89,16 @@
     std::size_t size_when_made = 0;
     /** Most back ends look unreachable, so the view is suspect: reachability is not looked at. */
     bool ignore_reachability = false;
+    /** The same for back ends that do not seem to answer. */
+    bool ignore_suspicion = false;
   };
 
   CandidateList& candidatesOf(const Service& service);
   void makeCandidates(const Service& service, CandidateList& list);
   bool isStale(const CandidateList& list) const;
+  bool isSuspect(const Backend& backend) const {
+    return suspicion_ != nullptr && suspicion_->isSuspect(backend.id);
+  }
 
   /** @return false where the back end is full, refused lately, is ejected or looks unreachable. */
   bool fits(const Backend& backend, const CandidateList& list) const;
@@ -99,6 +113,7 @@
   const TimeSource& time_source_;
   RandomGenerator& random_;
   OutlierDetector outliers_;
+  const BackendSuspicion* suspicion_ = nullptr;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
 };
--- /dev/null
+++ b/src/flow/silence_detector.cc
@@ -0,0 +1,126 @@
+#include "flow/silence_detector.h"
+
+#include <algorithm>
+
+namespace lugfork {
+
+namespace {
+
+/** Silent flows that are told apart for one back end; more make no difference. */
+constexpr std::size_t kMaxSilentFlows = 8;
+
+}  // namespace
+
+void SilenceDetector::onOpening(BackendId backend) {
+  Record& record = recordOf(backend);
+  const MonotonicTime now = time_source_.monotonicTime();
+  const bool first = record.opening_at == MonotonicTime();
+  if (first || now - record.opening_at > settings_.suspicion) {
+    record.opening_at = now;
+  }
+}
+
+void SilenceDetector::onOpeningRepeated(BackendId backend, const FlowId& flow) {
+  noteSilentFlow(backend, flow, 0);
+}
+
+void SilenceDetector::onLife(BackendId backend, std::uint16_t repetitions) {
+  const MonotonicTime now = time_source_.monotonicTime();
+  Record& record = recordOf(backend);
+  record = Record();
+  record.life_at = now;
+  const bool forgotten = now - survived_at_ > settings_.slow_memory;
+  if (repetitions > 0 && (forgotten || repetitions >= survived_repetitions_)) {
+    survived_repetitions_ = repetitions;
+    survived_at_ = now;
+  }
+}
+
+std::uint16_t SilenceDetector::repetitionsOfDead() const {
+  const bool remembered = time_source_.monotonicTime() - survived_at_ <= settings_.slow_memory;
+  const std::uint16_t survived = remembered ? survived_repetitions_ : std::uint16_t{0};
+  return std::max<std::uint16_t>(settings_.repetitions_of_dead, survived + 1);
+}
+
+void SilenceDetector::onRepetition(BackendId backend, const FlowId& flow,
+                                   std::uint16_t repetitions) {
+  noteSilentFlow(backend, flow, repetitions);
+}
+
+bool SilenceDetector::isSuspect(BackendId backend) const {
+  const Record* record = find(backend);
+  if (record == nullptr) {
+    return false;
+  }
+  const MonotonicTime now = time_source_.monotonicTime();
+  const Duration opening_age = now - record->opening_at;
+  const bool opening_unanswered = record->opening_at != MonotonicTime() &&
+                                  opening_age > settings_.handshake_timeout &&
+                                  opening_age <= settings_.suspicion;
+  const bool repeated_lately =
+      record->repeated_at != MonotonicTime() && now - record->repeated_at <= settings_.suspicion;
+  return opening_unanswered || repeated_lately;
+}
+
+bool SilenceDetector::isDead(BackendId backend) const {
+  const Record* record = find(backend);
+  if (record == nullptr || !looksDead(*record)) {
+    return false;
+  }
+  const auto dead = std::count_if(records_.begin(), records_.end(),
+                                  [this](const auto& entry) { return looksDead(entry.second); });
+  return static_cast<double>(dead) <=
+         settings_.max_dead_share * static_cast<double>(records_.size());
+}
+
+Duration SilenceDetector::silentFor(BackendId backend) const {
+  const Record* record = find(backend);
+  return record == nullptr ? Duration::zero() : time_source_.monotonicTime() - record->life_at;
+}
+
+void SilenceDetector::retain(const ConfigurationView& configuration) {
+  std::erase_if(records_,
+                [&](const auto& entry) { return configuration.backend(entry.first) == nullptr; });
+}
+
+SilenceDetector::Record& SilenceDetector::recordOf(BackendId backend) {
+  const auto [entry, is_new] = records_.try_emplace(backend);
+  if (is_new) {
+    entry->second.life_at = time_source_.monotonicTime();
+  }
+  return entry->second;
+}
+
+const SilenceDetector::Record* SilenceDetector::find(BackendId backend) const {
+  const auto found = records_.find(backend);
+  return found == records_.end() ? nullptr : &found->second;
+}
+
+void SilenceDetector::noteSilentFlow(BackendId backend, const FlowId& flow,
+                                     std::uint16_t repetitions) {
+  Record& record = recordOf(backend);
+  const MonotonicTime now = time_source_.monotonicTime();
+  record.repeated_at = now;
+  std::vector<SilentFlow>& flows = record.silent_flows;
+  std::erase_if(flows, [&](const SilentFlow& other) {
+    return other.flow == flow || now - other.repeated_at > settings_.memory;
+  });
+  if (flows.size() < kMaxSilentFlows) {
+    flows.push_back({flow, now, repetitions});
+  }
+}
+
+bool SilenceDetector::looksDead(const Record& record) const {
+  const MonotonicTime now = time_source_.monotonicTime();
+  std::size_t flows = 0;
+  std::uint16_t most_repetitions = 0;
+  for (const SilentFlow& silent : record.silent_flows) {
+    const bool counts = now - silent.repeated_at <= settings_.memory;
+    flows += counts ? 1 : 0;
+    most_repetitions = std::max(most_repetitions, counts ? silent.repetitions : std::uint16_t{0});
+  }
+  return flows >= settings_.flows_of_dead && most_repetitions >= repetitionsOfDead() &&
+         now - record.life_at >= settings_.dead_after;
+}
+
+}  // namespace lugfork
--- /dev/null
+++ b/src/flow/silence_detector.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <unordered_map>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/time_source.h"
+#include "flow/placement_engine.h"
+
+namespace lugfork {
+
+/** Tunables of a SilenceDetector. */
+struct SilenceSettings {
+  /** An opening without the caller's next packet for this long counts as unanswered. */
+  Duration handshake_timeout = milliseconds(100);
+  /** A suspected back end gets a new flow again after this long, to see whether it answers. */
+  Duration suspicion = seconds(2);
+  /** Flows of which at least one repeats itself twice before a back end is taken for dead. */
+  std::size_t flows_of_dead = 3;
+  /** Repetitions of a flow (after 0.2 s, 0.6 s, ...) that show more than a slow answer. */
+  std::uint16_t repetitions_of_dead = 2;
+  /** Time for which a repetition counts. */
+  Duration memory = seconds(2);
+  /** Time for which an answer after repetitions raises how many prove a back end dead. */
+  Duration slow_memory = seconds(60);
+  /** Shortest time without any sign of life after which a back end is taken for dead. */
+  Duration dead_after = milliseconds(500);
+  /** Largest share of all back ends heard of that may be dead; above it the fault is our own. */
+  double max_dead_share = 0.34;
+};
+
+/**
+ * Learns which back ends have fallen silent from what their callers send, long before the platform
+ * tells. Suspected back ends get no new flows; for dead ones open flows are reset, so that callers
+ * can try elsewhere. Any sign of life ends both.
+ */
+class SilenceDetector : public BackendSuspicion {
+ public:
+  SilenceDetector(SilenceSettings settings, const TimeSource& time_source)
+      : settings_(settings), time_source_(time_source) {}
+
+  /** An opening went to the back end. */
+  void onOpening(BackendId backend);
+
+  /** The back end answered the copy of an opening with nothing. */
+  void onOpeningRepeated(BackendId backend, const FlowId& flow);
+
+  /**
+   * A caller has received something new from the back end.
+   * @param repetitions how often the caller had repeated itself before: living back ends that are
+   * slow teach what is no proof.
+   */
+  void onLife(BackendId backend, std::uint16_t repetitions = 0);
+
+  /** A caller repeats what it sent on an open flow, for the n-th time. */
+  void onRepetition(BackendId backend, const FlowId& flow, std::uint16_t repetitions);
+
+  bool isSuspect(BackendId backend) const override;
+  bool isDead(BackendId backend) const;
+
+  /** @return time since the last sign of life; since the first packet where there was none. */
+  Duration silentFor(BackendId backend) const;
+
+  /** Forgets back ends that are not known any more. */
+  void retain(const ConfigurationView& configuration);
+
+ private:
+  /** A flow that repeated itself since the last sign of life. */
+  struct SilentFlow {
+    FlowId flow;
+    MonotonicTime repeated_at;
+    std::uint16_t repetitions = 0;
+  };
+
+  struct Record {
+    MonotonicTime life_at;
+    /** First opening since the last sign of life; unset for none. */
+    MonotonicTime opening_at;
+    /** Last repetition since the last sign of life; unset for none. */
+    MonotonicTime repeated_at;
+    std::vector<SilentFlow> silent_flows;
+  };
+
+  Record& recordOf(BackendId backend);
+  const Record* find(BackendId backend) const;
+  void noteSilentFlow(BackendId backend, const FlowId& flow, std::uint16_t repetitions);
+  bool looksDead(const Record& record) const;
+  std::uint16_t repetitionsOfDead() const;
+
+  const SilenceSettings settings_;
+  const TimeSource& time_source_;
+  std::unordered_map<BackendId, Record> records_;
+  /** Most repetitions after which a back end still answered, and when that was last seen. */
+  std::uint16_t survived_repetitions_ = 0;
+  MonotonicTime survived_at_;
+};
+
+}  // namespace lugfork
--- a/tests/flow/packet_router_test.cc
+++ b/tests/flow/packet_router_test.cc
@@ -21,6 +21,7 @@
   void setConfiguration(const Configuration& configuration) {
     decider.setConfiguration(viewOf(configuration));
     decider.setCompactTokens(&tokens);
+    placement.setSuspicion(&silence);
   }
 
   void forwardPacket(const Backend& backend, CompactToken token) override {
@@ -70,9 +71,10 @@
   PlacementEngine placement{PlacementSettings(), makePlacementPolicy("bounded_rendezvous"), loads,
                             time, *random};
   FlowDecider decider{FlowDeciderSettings(), time, placement, *this};
-  FlowObserver observer{64, time};
+  FlowObserver observer{FlowObserverSettings{65536}, time};
+  SilenceDetector silence{SilenceSettings(), time};
   CompactTokenCodec tokens{CompactTokenKey{9, 9, 9}};
-  PacketRouter router{decider, placement, observer, tokens, *this, *this, log};
+  PacketRouter router{decider, silence, observer, tokens, *this, *this, log};
   Reason blocked_by = Reason::None;
   bool fresh = true;
   std::vector<Sent> sent;
@@ -164,6 +166,146 @@
   CHECK(harness.router.counters().reopenings == 1);
 }
 
+/** Twenty back ends of one service, so that one of them may be dead. */
+Configuration manyBackends() {
+  Configuration configuration = twoServices();
+  configuration.backends.clear();
+  for (std::uint32_t id = 1; id <= 20; ++id) {
+    configuration.backends.push_back(makeBackend(id, ServiceId(1), kLac));
+  }
+  return configuration;
+}
+
+/** Opens flows until that many are open at one back end; all others are answered. */
+std::vector<std::uint16_t> openAtOne(PacketHarness& harness, std::size_t count, BackendId& chosen) {
+  std::map<BackendId, std::vector<std::uint16_t>> ports;
+  for (std::uint16_t port = 1; port < 5000; ++port) {
+    const auto opened = harness.open(port);
+    harness.data(port, opened.token, 1001, 1);
+    std::vector<std::uint16_t>& at_backend = ports[opened.backend];
+    at_backend.push_back(port);
+    if (at_backend.size() == count) {
+      chosen = opened.backend;
+      return at_backend;
+    }
+  }
+  return {};
+}
+
+TEST_CASE("a back end that leaves an opening unanswered gets no new flows", "[packet_router]") {
+  PacketHarness harness;
+  harness.setConfiguration(manyBackends());
+  const BackendId silent = harness.open(1).backend;
+  harness.time.elapsed += milliseconds(300);
+  for (std::uint16_t port = 2; port < 200; ++port) {
+    const auto opened = harness.open(port);
+    harness.data(port, opened.token, 1001, 1);
+    CHECK(opened.backend != silent);
+  }
+  SECTION("until it shows life") {
+    harness.data(1, harness.tokens.encode(harness.packet(1).flow(), silent), 1001, 1);
+    harness.time.elapsed += milliseconds(300);
+    bool chosen = false;
+    for (std::uint16_t port = 200; port < 600; ++port) {
+      chosen = chosen || harness.open(port).backend == silent;
+    }
+    CHECK(chosen);
+  }
+}
+
+TEST_CASE("open flows of a back end that fell silent are reset", "[packet_router]") {
+  PacketHarness harness;
+  harness.setConfiguration(manyBackends());
+  BackendId dead;
+  const auto ports = openAtOne(harness, 3, dead);
+  REQUIRE(ports.size() == 3);
+  const auto repeat = [&](std::uint16_t port, std::uint32_t sequence) {
+    harness.data(port, harness.tokens.encode(harness.packet(port).flow(), dead), sequence, 1);
+  };
+  const bool slow_before = GENERATE(false, true);
+  if (slow_before) {
+    // A living back end answered after as many repetitions: that proves nothing any more.
+    harness.silence.onLife(BackendId(20), 2);
+  }
+  for (const int wait_ms : {0, 200}) {
+    harness.time.elapsed += milliseconds(wait_ms);
+    for (const std::uint16_t port : ports) {
+      repeat(port, 1101);
+    }
+  }
+  CHECK(harness.resets.empty());
+  harness.time.elapsed += milliseconds(400);
+  repeat(ports[0], 1101);
+  const std::size_t expected = slow_before ? 0 : 1;
+  const auto& by_reason = harness.router.counters().resets_by_reason;
+  CHECK(harness.resets.size() == expected);
+  CHECK(by_reason[static_cast<std::size_t>(Reason::BackendGone)] == expected);
+}
+
+/** A caller sends a window again whose packets were lost on their way here, not at the back end. */
+TEST_CASE("a window that is sent again at once proves nothing", "[packet_router]") {
+  PacketHarness harness;
+  harness.setConfiguration(manyBackends());
+  BackendId living;
+  const auto ports = openAtOne(harness, 3, living);
+  harness.time.elapsed += seconds(2);
+  for (int round = 0; round < 2; ++round) {
+    for (std::uint32_t packet = 0; packet < 16; ++packet) {
+      for (const std::uint16_t port : ports) {
+        const CompactToken token = harness.tokens.encode(harness.packet(port).flow(), living);
+        harness.data(port, token, 1001 + 100 * packet, 1);
+      }
+    }
+    harness.time.elapsed += milliseconds(2);
+  }
+  CHECK(harness.resets.empty());
+}
+
+TEST_CASE("data beyond the caller's window is a sign of life", "[packet_router]") {
+  PacketHarness harness;
+  harness.setConfiguration(manyBackends());
+  BackendId living;
+  const auto ports = openAtOne(harness, 2, living);
+  const auto send = [&](std::uint16_t port, std::uint32_t sequence) {
+    harness.data(port, harness.tokens.encode(harness.packet(port).flow(), living), sequence, 1);
+  };
+  for (int repetition = 0; repetition < 3; ++repetition) {
+    harness.time.elapsed += milliseconds(300);
+    send(ports[0], 1001);
+    send(ports[0], 1001 + 20000 * (repetition + 1));
+    send(ports[1], 1001);
+  }
+  CHECK(harness.resets.empty());
+}
+
+TEST_CASE("one flow alone never proves a back end dead", "[packet_router]") {
+  PacketHarness harness;
+  harness.setConfiguration(manyBackends());
+  BackendId slow;
+  const auto ports = openAtOne(harness, 1, slow);
+  for (int repetition = 0; repetition < 6; ++repetition) {
+    harness.time.elapsed += milliseconds(400);
+    harness.data(ports[0], harness.tokens.encode(harness.packet(ports[0]).flow(), slow), 1001, 1);
+  }
+  CHECK(harness.resets.empty());
+}
+
+TEST_CASE("a node to which most back ends are silent resets nothing", "[packet_router]") {
+  PacketHarness harness;
+  std::map<std::uint16_t, CompactToken> tokens;
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    tokens[port] = harness.open(port).token;
+    harness.data(port, tokens[port], 1001, 1);
+  }
+  for (int repetition = 0; repetition < 5; ++repetition) {
+    harness.time.elapsed += milliseconds(400);
+    for (const auto& [port, token] : tokens) {
+      harness.data(port, token, 1001, 1);
+    }
+  }
+  CHECK(harness.resets.empty());
+}
+
 TEST_CASE("the end of a handshake is timed", "[packet_router]") {
   PacketHarness harness;
   const auto opened = harness.open(5000);
