Follow all keys of the platform in one view

Ruled out: longer watches (a lost answer is found only at their end). Change: one ViewFollower over all keys; other keys are passed over by the decoder.

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -14,47 +14,12 @@
 
 }  // namespace
 
-PacketNode::Feed::Feed(PacketNode& owner, std::string feed_name, const std::string& prefix)
-    : node(owner),
-      name(std::move(feed_name)),
-      follower(prefix, owner.settings_.follower, owner.source_, owner.scheduler_,
-               owner.time_source_, owner.random_, *this) {}
-
-void PacketNode::Feed::onItems(const std::vector<ItemChange>& changes) {
-  for (const ItemChange& change : changes) {
-    node.onChange(change);
-  }
-  node.applySoon();
-}
-
-void PacketNode::Feed::onComplete() {
-  node.log_.write(LogLevel::Info, "discovery", "view_complete",
-                  {{"view", name}, {"revision", follower.revision()}});
-  node.apply();
-}
-
-void PacketNode::Feed::onSourceLost(SourceError cause) {
-  node.log_.write(LogLevel::Warn, "discovery", "platform_lost",
-                  {{"view", name},
-                   {"cause", toString(cause)},
-                   {"revision", follower.revision()},
-                   {"age_ms", toMilliseconds(follower.age())}});
-}
-
-void PacketNode::Feed::onSourceRegained(Duration lost_for) {
-  node.log_.write(LogLevel::Info, "discovery", "platform_regained",
-                  {{"view", name}, {"lost_for_ms", toMilliseconds(lost_for)}});
-}
-
 PacketNode::PacketNode(PacketNodeSettings settings, const PlatformLayout& layout,
                        ItemSource& source, PacketSender& sender, Scheduler& scheduler,
                        const TimeSource& time_source, RandomGenerator& random, EventLog& log)
     : settings_(std::move(settings)),
       decoder_(layout.decoder),
-      source_(source),
       scheduler_(scheduler),
-      time_source_(time_source),
-      random_(random),
       log_(log),
       registry_(settings_.retired_for, time_source, log),
       loads_(settings_.load, time_source),
@@ -65,20 +30,18 @@
       silence_(settings_.silence, time_source),
       tokens_(settings_.token_key),
       router_(decider_, silence_, observer_, tokens_, sender, *this, log),
-      routes_(*this, "routes", layout.routes_prefix),
-      servers_(*this, "servers", layout.servers_prefix) {
+      follower_(layout.prefix, settings_.follower, source, scheduler, time_source, random, *this) {
   decider_.setCompactTokens(&tokens_);
   placement_.setSuspicion(&silence_);
 }
 
 void PacketNode::start() {
-  routes_.follower.start();
-  servers_.follower.start();
+  follower_.start();
   scheduleCleanup();
 }
 
 bool PacketNode::isComplete() const {
-  return routes_.follower.isComplete() && servers_.follower.isComplete() && registry_.hasRoutes();
+  return follower_.isComplete() && registry_.hasRoutes();
 }
 
 void PacketNode::startLeaving() {
@@ -91,7 +54,7 @@
 }
 
 bool PacketNode::viewIsFresh() const {
-  return isComplete() && routes_.follower.isFresh() && servers_.follower.isFresh();
+  return isComplete() && follower_.isFresh();
 }
 
 void PacketNode::onHandshake(Duration duration) {
@@ -100,6 +63,30 @@
   }
 }
 
+void PacketNode::onItems(const std::vector<ItemChange>& changes) {
+  for (const ItemChange& change : changes) {
+    onChange(change);
+  }
+  applySoon();
+}
+
+void PacketNode::onComplete() {
+  log_.write(LogLevel::Info, "discovery", "view_complete", {{"revision", follower_.revision()}});
+  apply();
+}
+
+void PacketNode::onSourceLost(SourceError cause) {
+  log_.write(LogLevel::Warn, "discovery", "platform_lost",
+             {{"cause", toString(cause)},
+              {"revision", follower_.revision()},
+              {"age_ms", toMilliseconds(follower_.age())}});
+}
+
+void PacketNode::onSourceRegained(Duration lost_for) {
+  log_.write(LogLevel::Info, "discovery", "platform_regained",
+             {{"lost_for_ms", toMilliseconds(lost_for)}});
+}
+
 void PacketNode::onChange(const ItemChange& change) {
   const Item& item = change.item;
   if (change.deleted) {
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -30,8 +30,8 @@
 
 /** Where a platform keeps routes and servers, and how it writes them. */
 struct PlatformLayout {
-  std::string routes_prefix;
-  std::string servers_prefix;
+  /** Prefix of all keys that matter: one view costs half the calls of two. */
+  std::string prefix;
   const RecordDecoder& decoder;
 };
 
@@ -45,7 +45,7 @@
  * One balancer for packets with compact tokens, without its sockets and clocks: follows the
  * platform's routes and servers and routes packets by them.
  */
-class PacketNode : private PacketRouterHost {
+class PacketNode : private PacketRouterHost, private ViewFollowerHost {
  public:
   PacketNode(PacketNodeSettings settings, const PlatformLayout& layout, ItemSource& source,
              PacketSender& sender, Scheduler& scheduler, const TimeSource& time_source,
@@ -76,24 +76,10 @@
 
   const PacketCounters& packetCounters() const { return router_.counters(); }
   const PacketNodeCounters& counters() const { return counters_; }
-  const ViewFollower& routesFollower() const { return routes_.follower; }
-  const ViewFollower& serversFollower() const { return servers_.follower; }
+  const ViewFollower& follower() const { return follower_; }
   std::uint64_t routesVersion() const { return registry_.routesVersion(); }
 
  private:
-  /** Ties a follower to the part of the view that it feeds, for logs. */
-  struct Feed : ViewFollowerHost {
-    Feed(PacketNode& owner, std::string feed_name, const std::string& prefix);
-    void onItems(const std::vector<ItemChange>& changes) override;
-    void onComplete() override;
-    void onSourceLost(SourceError cause) override;
-    void onSourceRegained(Duration lost_for) override;
-
-    PacketNode& node;
-    const std::string name;
-    ViewFollower follower;
-  };
-
   // PacketRouterHost
   Reason placementBlockedBy() const override;
   void onNewerConfigurationSeen(ConfigVersion) override {}
@@ -101,6 +87,12 @@
   bool viewIsFresh() const override;
   void onHandshake(Duration duration) override;
 
+  // ViewFollowerHost
+  void onItems(const std::vector<ItemChange>& changes) override;
+  void onComplete() override;
+  void onSourceLost(SourceError cause) override;
+  void onSourceRegained(Duration lost_for) override;
+
   void onChange(const ItemChange& change);
   void applySoon();
   void apply();
@@ -108,10 +100,7 @@
 
   const PacketNodeSettings settings_;
   const RecordDecoder& decoder_;
-  ItemSource& source_;
   Scheduler& scheduler_;
-  const TimeSource& time_source_;
-  RandomGenerator& random_;
   EventLog& log_;
   BackendRegistry registry_;
   BackendLoadTable loads_;
@@ -121,8 +110,7 @@
   SilenceDetector silence_;
   const CompactTokenCodec tokens_;
   PacketRouter router_;
-  Feed routes_;
-  Feed servers_;
+  ViewFollower follower_;
   std::function<void()> on_complete_;
   std::function<void(Duration)> on_handshake_;
   bool apply_pending_ = false;
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -47,21 +47,18 @@
   }
 }
 
-void addFollower(prometheus::Registry& registry, const std::string& view,
-                 const ViewFollower& follower) {
-  const prometheus::Labels labels = {{"view", view}};
+void addFollower(prometheus::Registry& registry, const ViewFollower& follower) {
   const ViewFollowerCounters& counters = follower.counters();
-  addCounter(registry, "lugfork_platform_pages_total", "Pages read.", counters.pages, labels);
-  addCounter(registry, "lugfork_platform_watches_total", "Watches made.", counters.watches, labels);
+  addCounter(registry, "lugfork_platform_pages_total", "Pages read.", counters.pages);
+  addCounter(registry, "lugfork_platform_watches_total", "Watches made.", counters.watches);
   addCounter(registry, "lugfork_platform_full_reads_total", "Full reads begun.",
-             counters.full_reads, labels);
+             counters.full_reads);
   for (std::size_t index = 0; index <= static_cast<std::size_t>(SourceError::Last); ++index) {
     addCounter(registry, "lugfork_platform_errors_total", "Calls without a good answer.",
-               counters.errors[index],
-               {{"view", view}, {"cause", toString(static_cast<SourceError>(index))}});
+               counters.errors[index], {{"cause", toString(static_cast<SourceError>(index))}});
   }
   addGauge(registry, "lugfork_view_age_seconds", "Time since the platform's last answer.",
-           std::chrono::duration<double>(follower.age()).count(), labels);
+           std::chrono::duration<double>(follower.age()).count());
 }
 
 }  // namespace
@@ -78,8 +75,7 @@
   prometheus::Registry registry;
   addDataPath(registry, node.packetCounters());
   addSockets(registry, sockets);
-  addFollower(registry, "routes", node.routesFollower());
-  addFollower(registry, "servers", node.serversFollower());
+  addFollower(registry, node.follower());
   addCounter(registry, "lugfork_platform_records_invalid_total", "Items that can't be read.",
              node.counters().records_invalid);
   addCounter(registry, "lugfork_log_lines_left_out_total", "Log lines left out by the limit.",
