Let balancers follow each other's view while the store does not answer them

Ruled out: ZeroMQ for these calls (the store's client does them as it is, and its threads and libraries cost memory on each node); a full mesh or membership: a few peers a node are enough. Change: FailoverSource reads a peer's view while the store fails, with the store's own revisions, and tries the store each second; PeerDirectory knows seeds and who asked; the view keeps its items to tell them; answers say how old they are. The store's client became HttpGetClient.

--- a/src/discovery/item_source.h
+++ b/src/discovery/item_source.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "common/result.h"
@@ -25,6 +26,7 @@
   Revision revision = 0;
   /** The change that created the item. */
   Revision created = 0;
+  auto fields() { return std::tie(key, value, revision, created); }
 };
 
 /** Part of the items under a prefix, in the order of their keys. */
@@ -34,6 +36,9 @@
   bool more = false;
   /** The store's revision when it answered. */
   Revision at = 0;
+  /** Time since the store told this to who answers; 0 where that is the store [ms]. */
+  std::uint32_t age_ms = 0;
+  auto fields() { return std::tie(items, more, at, age_ms); }
 };
 
 /** What happened to one key. */
@@ -41,6 +46,7 @@
   Item item;
   /** The key was deleted by the change; the item has no value. */
   bool deleted = false;
+  auto fields() { return std::tie(item, deleted); }
 };
 
 /** Changes under a prefix, oldest first. */
@@ -48,6 +54,9 @@
   std::vector<ItemChange> changes;
   /** Revision from which the next watch goes on. */
   Revision at = 0;
+  /** As in ItemPage. */
+  std::uint32_t age_ms = 0;
+  auto fields() { return std::tie(changes, at, age_ms); }
 };
 
 /** Why a call gave no answer that can be used. */
--- a/src/discovery/item_view.h
+++ b/src/discovery/item_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <unordered_set>
@@ -35,9 +36,19 @@
   /** @return the highest revision seen in an item or a deletion. */
   Revision newestRevision() const { return newest_; }
 
+  /** Notes that all changes up to a revision have been told. */
+  void setPosition(Revision at) { position_ = std::max(position_, at); }
+  Revision position() const { return position_; }
+
+  /** @return the items after a key, as this view knows them; for nodes that follow this one. */
+  ItemPage page(const std::string& after_key, std::size_t limit) const;
+
+  /** @return the changes after a revision; nothing where this view began later than that. */
+  std::optional<ItemChanges> changesAfter(Revision after) const;
+
  private:
   struct Known {
-    Revision revision = 0;
+    Item item;
     bool deleted = false;
   };
 
@@ -45,6 +56,9 @@
   std::unordered_set<std::string> shown_;
   std::optional<Revision> full_read_at_;
   Revision newest_ = 0;
+  Revision position_ = 0;
+  /** Deletions up to here may be unknown. */
+  Revision history_from_ = 0;
 };
 
 }  // namespace lugfork
--- a/src/discovery/view_follower.cc
+++ b/src/discovery/view_follower.cc
@@ -52,8 +52,8 @@
     retry([this] { readNextPage(); });
     return;
   }
-  onAnswer();
   const ItemPage& page = answer.value();
+  onAnswer(milliseconds(page.age_ms));
   tell(view_.applyPage(page));
   if (page.more && !page.items.empty()) {
     page_after_key_ = page.items.back().key;
@@ -82,9 +82,10 @@
     retry([this] { startWatch(complete_ ? settings_.watch_wait : kCatchUpWait); });
     return;
   }
-  onAnswer();
   const ItemChanges& changes = answer.value();
+  onAnswer(milliseconds(changes.age_ms));
   watch_after_ = std::max(watch_after_, changes.at);
+  view_.setPosition(watch_after_);
   std::vector<ItemChange> news;
   for (const ItemChange& change : changes.changes) {
     if (view_.apply(change)) {
@@ -100,9 +101,9 @@
   scheduler_.callAfter(pause, [this] { startWatch(settings_.watch_wait); });
 }
 
-void ViewFollower::onAnswer() {
+void ViewFollower::onAnswer(Duration answer_age) {
   const MonotonicTime now = time_source_.monotonicTime();
-  answered_at_ = now;
+  answered_at_ = std::max(answered_at_, now - answer_age);
   if (failures_in_row_ > 0) {
     failures_in_row_ = 0;
     host_.onSourceRegained(now - failing_since_);
--- a/src/discovery/view_follower.h
+++ b/src/discovery/view_follower.h
@@ -66,10 +66,11 @@
   /** @return true if the source has answered lately enough that the view is the newest. */
   bool isFresh() const;
 
-  /** @return time since the last answer. */
+  /** @return time since the platform told the newest of what is known. */
   Duration age() const { return time_source_.monotonicTime() - answered_at_; }
 
   Revision revision() const { return view_.newestRevision(); }
+  const ItemView& view() const { return view_; }
   const ViewFollowerCounters& counters() const { return counters_; }
 
  private:
@@ -78,7 +79,7 @@
   void onPage(const Result<ItemPage, SourceError>& answer);
   void startWatch(Duration wait);
   void onChanges(const Result<ItemChanges, SourceError>& answer);
-  void onAnswer();
+  void onAnswer(Duration answer_age);
   void onError(SourceError error);
   /** Calls the function after a pause that grows with the failures in a row. */
   void retry(std::function<void()> function);
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -159,13 +159,11 @@
                        HttpServerLimits limits)
     : address_(address) {
   const bool encrypted = !security.certificate_file.empty();
-  std::string ports = toString(address) + (encrypted ? "s" : "");
-  if (limits.second_address.isSet()) {
-    ports += "," + toString(limits.second_address) + (encrypted ? "s" : "");
-  }
-  std::vector<std::string> options = {"listening_ports",    ports,
-                                      "num_threads",        std::to_string(limits.threads),
-                                      "request_timeout_ms", "10000"};
+  const auto timeout_ms = std::chrono::duration_cast<milliseconds>(limits.request_timeout).count();
+  std::vector<std::string> options = {
+      "listening_ports",    toString(address) + (encrypted ? "s" : ""),
+      "num_threads",        std::to_string(limits.threads),
+      "request_timeout_ms", std::to_string(timeout_ms)};
   if (encrypted) {
     requireTls();
     options.insert(options.end(), {"ssl_certificate", security.certificate_file});
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -1,5 +1,6 @@
 #include "runtime/packet_daemon.h"
 
+#include <boost/asio/post.hpp>
 #include <csignal>
 
 #include "runtime/api_response.h"
@@ -11,8 +12,11 @@
 
 constexpr const char* kMetricsPath = "/metrics";
 constexpr Duration kLeaveCheckInterval = milliseconds(100);
-/** Readiness is asked for twice a second by one party, metrics seldom. */
-constexpr unsigned kHttpThreads = 2;
+/** Readiness is asked for twice a second by one party. */
+constexpr unsigned kReadyThreads = 1;
+constexpr unsigned kControlThreads = 2;
+/** No caller that stalls holds a thread for longer. */
+constexpr Duration kHttpTimeout = seconds(2);
 
 HttpResponse plainText(int status, std::string body) {
   HttpResponse response;
@@ -24,17 +28,25 @@
 
 }  // namespace
 
-PacketDaemon::PacketDaemon(boost::asio::io_context& io_context, PacketDaemonSettings settings,
-                           const PlatformBinding& platform, EventLog& log,
-                           std::function<std::string()> reload)
+PacketDaemon::PacketDaemon(boost::asio::io_context& io_context, HttpGetClient& http_client,
+                           PacketDaemonSettings settings, const PlatformBinding& platform,
+                           EventLog& log, std::function<std::string()> reload)
     : settings_(std::move(settings)),
       codec_(platform.codec),
       log_(log, settings_.log_limits, time_source_),
       random_(makeSeededRandom(entropySeed())),
       io_context_(io_context),
       scheduler_(io_context),
-      node_(settings_.node, platform.layout, platform.source, *this, scheduler_, time_source_,
-            *random_, log_),
+      directory_(settings_.peers, settings_.control_address, settings_.seeds, time_source_,
+                 *random_),
+      peer_client_(http_client, peerBearerToken(settings_.node.token_key)),
+      peer_exchange_(settings_.peer_exchange, settings_.control_address, settings_.seeds,
+                     directory_, peer_client_, scheduler_, *random_),
+      source_(settings_.failover, platform.source, peer_client_, directory_, scheduler_,
+              time_source_),
+      node_(settings_.node, platform.layout, source_, *this, scheduler_, time_source_, *random_,
+            log_),
+      peer_handler_(node_.follower(), directory_),
       socket_(
           io_context, settings_.packet_address,
           [this](std::span<const std::uint8_t> bytes, Endpoint from) { onDatagram(bytes, from); },
@@ -43,16 +55,31 @@
       leave_timer_(settings_.leave),
       reload_(std::move(reload)) {
   awaitSignal();
+  source_.setHost(this);
+  node_.setHandshakeCallback([this](Duration duration) { metrics_.onHandshake(duration); });
   node_.setCompletionCallback([this] {
     // Packets that came before wait in the socket and are served now.
     ready_ = node_.isReady();
     socket_.startReceiving();
   });
-  node_.setHandshakeCallback([this](Duration duration) { metrics_.onHandshake(duration); });
-  http_ = std::make_unique<HttpServer>(
+  startServers();
+}
+
+void PacketDaemon::startServers() {
+  ready_server_ = std::make_unique<HttpServer>(
       settings_.ready_address,
-      [this](const HttpRequest& request) { return onHttpRequest(request); }, HttpServerSecurity(),
-      HttpServerLimits{kHttpThreads, settings_.metrics_address});
+      [this](const HttpRequest& request) { return onReadyRequest(request); }, HttpServerSecurity(),
+      HttpServerLimits{kReadyThreads, kHttpTimeout});
+  if (!settings_.control_address.isSet()) {
+    return;
+  }
+  HttpServerSecurity security;
+  security.bearer_token = peerBearerToken(settings_.node.token_key);
+  security.open_paths = {kMetricsPath};
+  control_server_ = std::make_unique<HttpServer>(
+      settings_.control_address,
+      [this](const HttpRequest& request) { return onControlRequest(request); }, security,
+      HttpServerLimits{kControlThreads, kHttpTimeout});
 }
 
 void PacketDaemon::run() {
@@ -61,8 +88,11 @@
               {"ready_address", toString(settings_.ready_address)},
               {"version", LUGFORK_VERSION}});
   node_.start();
+  if (settings_.control_address.isSet()) {
+    peer_exchange_.start();
+  }
   io_context_.run();
-  closeWhileServing(io_context_, http_);
+  closeWhileServing(io_context_, ready_server_);
   log_.write(LogLevel::Info, "daemon", "stopped",
              {{"packets_received", counters_.packets_received}});
 }
@@ -126,26 +156,50 @@
   leave_timer_.start(time_source_.monotonicTime());
   node_.startLeaving();
   ready_ = false;
+  closeControlServer();
   stopWhenDone();
 }
 
+void PacketDaemon::closeControlServer() {
+  boost::asio::post(closer_, [this] {
+    control_server_.reset();
+    control_closed_ = true;
+  });
+}
+
 void PacketDaemon::stopWhenDone() {
-  if (leave_timer_.isDone(time_source_.monotonicTime())) {
+  if (control_closed_ && leave_timer_.isDone(time_source_.monotonicTime())) {
     io_context_.stop();
     return;
   }
   scheduler_.callAfter(kLeaveCheckInterval, [this] { stopWhenDone(); });
 }
 
-HttpResponse PacketDaemon::onHttpRequest(const HttpRequest& request) {
-  if (request.path == settings_.ready_path) {
-    return ready_ ? plainText(kHttpOk, "ready\n") : plainText(kHttpUnavailable, "not ready\n");
-  }
-  if (request.path != kMetricsPath) {
+void PacketDaemon::onPeerFollowed(Endpoint peer, SourceError cause) {
+  log_.write(LogLevel::Warn, "discovery", "peers_followed",
+             {{"peer", toString(peer)},
+              {"store_error", toString(cause)},
+              {"revision", node_.follower().revision()}});
+}
+
+void PacketDaemon::onStoreFollowed() {
+  log_.write(LogLevel::Info, "discovery", "store_followed",
+             {{"revision", node_.follower().revision()}});
+}
+
+HttpResponse PacketDaemon::onReadyRequest(const HttpRequest& request) const {
+  if (request.path != settings_.ready_path) {
     return problemResponse(kHttpNotFound, "no such resource");
   }
-  return callOnLoop(io_context_, [this] {
-    return plainText(kHttpOk, metrics_.render(node_, counters_, log_.suppressed()));
+  return ready_ ? plainText(kHttpOk, "ready\n") : plainText(kHttpUnavailable, "not ready\n");
+}
+
+HttpResponse PacketDaemon::onControlRequest(const HttpRequest& request) {
+  return callOnLoop(io_context_, [&] {
+    if (request.path == kMetricsPath) {
+      return plainText(kHttpOk, metrics_.render(node_, counters_, log_.suppressed()));
+    }
+    return peer_handler_.handle(request);
   });
 }
 
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -3,14 +3,18 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <memory>
 
 #include "balancer/packet_node.h"
 #include "common/bounded_event_log.h"
+#include "discovery/failover_source.h"
+#include "discovery/peer_exchange.h"
 #include "runtime/asio_scheduler.h"
 #include "runtime/http_server.h"
 #include "runtime/leave_timer.h"
 #include "runtime/packet_metrics.h"
+#include "runtime/peer_http.h"
 #include "runtime/udp_endpoint.h"
 
 namespace lugfork {
@@ -23,8 +27,13 @@
   /** Readiness (HTTP). */
   Endpoint ready_address;
   std::string ready_path;
-  /** Metrics (HTTP), at /metrics; unset for none. */
-  Endpoint metrics_address;
+  /** Other balancers' calls and metrics (HTTP); unset for none. */
+  Endpoint control_address;
+  /** Control addresses of balancers that may be there. */
+  std::vector<Endpoint> seeds;
+  PeerDirectorySettings peers;
+  PeerExchangeSettings peer_exchange;
+  FailoverSettings failover;
   LeaveSettings leave;
   LogLimits log_limits;
 };
@@ -37,11 +46,12 @@
 };
 
 /** Runs one PacketNode on real sockets and clocks. */
-class PacketDaemon : private PacketSender {
+class PacketDaemon : private PacketSender, private FailoverHost {
  public:
   /** @param reload called on SIGHUP; returns an empty text, or why the settings were not taken. */
-  PacketDaemon(boost::asio::io_context& io_context, PacketDaemonSettings settings,
-               const PlatformBinding& platform, EventLog& log, std::function<std::string()> reload);
+  PacketDaemon(boost::asio::io_context& io_context, HttpGetClient& http_client,
+               PacketDaemonSettings settings, const PlatformBinding& platform, EventLog& log,
+               std::function<std::string()> reload);
 
   /** Runs until a planned stop (SIGTERM or SIGINT) is complete. */
   void run();
@@ -50,14 +60,22 @@
   void forwardPacket(const Backend& backend, CompactToken token) override;
   void resetCaller(const FlowPacket& packet) override;
 
+  // FailoverHost
+  void onPeerFollowed(Endpoint peer, SourceError cause) override;
+  void onStoreFollowed() override;
+
   void onDatagram(std::span<const std::uint8_t> bytes, Endpoint from);
   void awaitSignal();
   void onSignal(int signal);
   void reload();
   void startLeaving();
   void stopWhenDone();
-  /** Called on the HTTP server's threads. */
-  HttpResponse onHttpRequest(const HttpRequest& request);
+  /** Closes the control server on another thread: CivetWeb takes up to 2 s for it. */
+  void closeControlServer();
+  void startServers();
+  /** Both are called on the HTTP servers' threads. */
+  HttpResponse onReadyRequest(const HttpRequest& request) const;
+  HttpResponse onControlRequest(const HttpRequest& request);
 
   const PacketDaemonSettings settings_;
   const PacketCodec& codec_;
@@ -66,14 +84,22 @@
   std::unique_ptr<RandomGenerator> random_;
   boost::asio::io_context& io_context_;
   AsioScheduler scheduler_;
+  PeerDirectory directory_;
+  HttpPeerClient peer_client_;
+  PeerExchange peer_exchange_;
+  FailoverSource source_;
   PacketNode node_;
+  PeerRequestHandler peer_handler_;
   UdpEndpoint socket_;
   boost::asio::signal_set signals_;
   LeaveTimer leave_timer_;
   PacketMetrics metrics_;
   PacketSocketCounters counters_;
   std::function<std::string()> reload_;
-  std::unique_ptr<HttpServer> http_;
+  std::unique_ptr<HttpServer> ready_server_;
+  std::unique_ptr<HttpServer> control_server_;
+  boost::asio::thread_pool closer_{1};
+  std::atomic<bool> control_closed_ = false;
   std::atomic<bool> ready_ = false;
   /** The packet at hand, while the node decides on it. */
   std::span<const std::uint8_t> packet_;
--- /dev/null
+++ b/tests/discovery/peer_directory_test.cc
@@ -0,0 +1,61 @@
+#include "discovery/peer_directory.h"
+
+#include <catch2/catch.hpp>
+
+#include "flow/router_harness.h"
+
+namespace lugfork {
+namespace {
+
+const Endpoint kOwn{1, 1};
+const Endpoint kSeed{2, 1};
+
+struct DirectoryHarness {
+  ManualTimeSource time;
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
+  PeerDirectory directory{{4, seconds(60)}, kOwn, {kOwn, kSeed}, time, *random};
+};
+
+TEST_CASE("seeds are asked until a peer is known", "[peer_directory]") {
+  DirectoryHarness harness;
+  CHECK(harness.directory.pick() == kSeed);
+  harness.directory.onAlive({3, 1});
+  CHECK(harness.directory.pick() == Endpoint{3, 1});
+  harness.directory.onFailed({3, 1});
+  CHECK(harness.directory.pick() == kSeed);
+}
+
+TEST_CASE("a node is no peer of its own", "[peer_directory]") {
+  DirectoryHarness harness;
+  harness.directory.onAlive(kOwn);
+  harness.directory.onTold({kOwn, Endpoint()});
+  CHECK(harness.directory.recent().empty());
+}
+
+TEST_CASE("peers that are not heard of are forgotten, also where others tell them",
+          "[peer_directory]") {
+  DirectoryHarness harness;
+  harness.directory.onTold({{3, 1}});
+  harness.time.elapsed += seconds(40);
+  harness.directory.onTold({{3, 1}});
+  harness.time.elapsed += seconds(40);
+  CHECK(harness.directory.recent().empty());
+}
+
+TEST_CASE("a directory has a limit", "[peer_directory]") {
+  DirectoryHarness harness;
+  for (std::uint32_t address = 10; address < 50; ++address) {
+    harness.directory.onAlive({address, 1});
+  }
+  CHECK(harness.directory.recent().size() == 4);
+}
+
+TEST_CASE("without seeds and peers there is nobody to ask", "[peer_directory]") {
+  ManualTimeSource time;
+  const auto random = makeSeededRandom(1);
+  PeerDirectory directory({}, kOwn, {}, time, *random);
+  CHECK_FALSE(directory.pick().has_value());
+}
+
+}  // namespace
+}  // namespace lugfork
--- /dev/null
+++ b/tests/platform/store_standin.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include <sodium.h>
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "runtime/http_server.h"
+
+namespace lugfork::platform {
+
+/** Stand-in of the platform's store, made from its page: items, pages, watches, and failures. */
+class StoreStandin {
+ public:
+  StoreStandin()
+      : server_({0x7f000001, 0}, [this](const HttpRequest& request) { return handle(request); }) {}
+
+  ~StoreStandin() {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    changed_.notify_all();
+  }
+
+  Endpoint address() const { return server_.localAddress(); }
+
+  void put(const std::string& key, const std::string& value) {
+    const std::lock_guard lock(mutex_);
+    ++revision_;
+    const std::uint64_t created = items_.contains(key) ? items_[key].created : revision_;
+    items_[key] = {value, revision_, created};
+    deleted_.erase(key);
+    changed_.notify_all();
+  }
+
+  void remove(const std::string& key) {
+    const std::lock_guard lock(mutex_);
+    items_.erase(key);
+    deleted_[key] = ++revision_;
+    changed_.notify_all();
+  }
+
+  /** Forgets the changes so far: watches from before get 410. */
+  void forgetHistory() {
+    const std::lock_guard lock(mutex_);
+    history_from_ = revision_ + 1;
+    deleted_.clear();
+    changed_.notify_all();
+  }
+
+  /** Every call gets this status; 200 ends that. */
+  void failWith(int status) {
+    const std::lock_guard lock(mutex_);
+    status_ = status;
+    changed_.notify_all();
+  }
+
+  /** Every body is cut to its first half. */
+  void cutAnswers(bool cut) {
+    const std::lock_guard lock(mutex_);
+    cut_ = cut;
+  }
+
+  int calls() const {
+    const std::lock_guard lock(mutex_);
+    return calls_;
+  }
+
+ private:
+  struct Stored {
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t created = 0;
+  };
+
+  static constexpr std::size_t kPageItems = 2;
+
+  static std::string base64(const std::string& text) {
+    std::string encoded(sodium_base64_ENCODED_LEN(text.size(), sodium_base64_VARIANT_ORIGINAL),
+                        '\0');
+    sodium_bin2base64(encoded.data(), encoded.size(),
+                      reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+                      sodium_base64_VARIANT_ORIGINAL);
+    encoded.pop_back();
+    return encoded;
+  }
+
+  static nlohmann::json itemJson(const std::string& key, const Stored& item) {
+    return {{"key", key},
+            {"value", base64(item.value)},
+            {"revision", item.revision},
+            {"created", item.created},
+            {"lease", 0}};
+  }
+
+  static std::string parameter(const HttpRequest& request, const std::string& name) {
+    const auto found = request.query.find(name);
+    return found == request.query.end() ? "" : found->second;
+  }
+
+  HttpResponse handle(const HttpRequest& request) {
+    std::unique_lock lock(mutex_);
+    ++calls_;
+    HttpResponse response;
+    response.status = status_;
+    if (status_ != 200) {
+      return response;
+    }
+    if (request.path == "/kv-range") {
+      response.body = range(request).dump();
+    } else if (request.path == "/kv-watch") {
+      const auto body = watch(request, lock);
+      response.status = body ? status_ : 410;
+      response.body = body ? body->dump() : "";
+    } else {
+      response.status = 404;
+    }
+    if (cut_) {
+      response.body.resize(response.body.size() / 2);
+    }
+    return response;
+  }
+
+  nlohmann::json range(const HttpRequest& request) const {
+    const std::string prefix = parameter(request, "path_prefix");
+    const std::string after = parameter(request, "after");
+    nlohmann::json body = {{"items", nlohmann::json::array()}, {"more", false}, {"at", revision_}};
+    for (const auto& [key, item] : items_) {
+      if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
+        continue;
+      }
+      if (body["items"].size() == kPageItems) {
+        body["more"] = true;
+        break;
+      }
+      body["items"].push_back(itemJson(key, item));
+    }
+    return body;
+  }
+
+  std::optional<nlohmann::json> watch(const HttpRequest& request,
+                                      std::unique_lock<std::mutex>& lock) {
+    const std::string prefix = parameter(request, "path_prefix");
+    const std::uint64_t after = std::stoull(parameter(request, "after"));
+    const std::chrono::milliseconds wait(std::stoul(parameter(request, "wait_ms")));
+    changed_.wait_for(lock, wait, [&] {
+      return closed_ || status_ != 200 || revision_ > after || after + 1 < history_from_;
+    });
+    if (after + 1 < history_from_) {
+      return std::nullopt;
+    }
+    std::map<std::uint64_t, nlohmann::json> events;
+    for (const auto& [key, item] : items_) {
+      if (key.starts_with(prefix) && item.revision > after) {
+        events[item.revision] = itemJson(key, item);
+      }
+    }
+    for (const auto& [key, revision] : deleted_) {
+      if (key.starts_with(prefix) && revision > after) {
+        events[revision] = {{"key", key}, {"revision", revision}, {"gone", true}};
+      }
+    }
+    nlohmann::json body = {{"events", nlohmann::json::array()}, {"at", revision_}};
+    for (const auto& [revision, event] : events) {
+      body["events"].push_back(event);
+    }
+    return body;
+  }
+
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, Stored> items_;
+  std::map<std::string, std::uint64_t> deleted_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t history_from_ = 0;
+  int status_ = 200;
+  int calls_ = 0;
+  bool cut_ = false;
+  bool closed_ = false;
+  HttpServer server_;
+};
+
+}  // namespace lugfork::platform
