--- a/tests/discovery/view_follower_test.cc
+++ b/tests/discovery/view_follower_test.cc
@@ -30,8 +30,11 @@
     source.answerPage(kPrefix, std::move(answer));
   }
   void answerWatch(Result<ItemChanges, SourceError> answer) {
+    const bool has_answer = answer.has_value();
     source.answerWatch(kPrefix, std::move(answer));
-    scheduler.advance(settings.watch_pause);
+    if (has_answer) {
+      scheduler.advance(settings.watch_pause);
+    }
   }
 
   /** Goes through a full read with these items and the watch that completes it. */
