--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -8,6 +8,12 @@
 
 constexpr Duration kCleanupInterval = seconds(10);
 
+PlacementSettings placementSettingsOf(const PacketNodeSettings& settings) {
+  PlacementSettings placement = settings.placement;
+  placement.local_zone = settings.zone;
+  return placement;
+}
+
 std::int64_t toMilliseconds(Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
@@ -23,8 +29,8 @@
       log_(log),
       registry_(settings_.retired_for, time_source, log),
       loads_(settings_.load, time_source),
-      placement_(settings_.placement, makePlacementPolicy(settings_.placement_policy), loads_,
-                 time_source, random),
+      placement_(placementSettingsOf(settings_), makePlacementPolicy(settings_.placement_policy),
+                 loads_, time_source, random),
       decider_(settings_.decider, time_source, placement_, *this),
       observer_(settings_.observer, time_source),
       silence_(settings_.silence, time_source),
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -8,8 +8,9 @@
 
 class LoadedCandidates : public CandidateSet {
  public:
-  LoadedCandidates(const std::vector<const Backend*>& backends, const BackendLoadTable& loads)
-      : backends_(backends), loads_(loads) {}
+  LoadedCandidates(const std::vector<const Backend*>& backends, const BackendLoadTable& loads,
+                   std::optional<ZoneId> local_zone, double local_weight)
+      : backends_(backends), loads_(loads), local_zone_(local_zone), local_weight_(local_weight) {}
 
   std::size_t size() const override { return backends_.size(); }
   const Backend& backend(std::size_t index) const override { return *backends_[index]; }
@@ -19,10 +20,16 @@
   double reportedLoad(std::size_t index) const override {
     return loads_.reportedLoad(*backends_[index]);
   }
+  double weight(std::size_t index) const override {
+    const Backend& backend = *backends_[index];
+    return backend.slots * (backend.zone == local_zone_ ? local_weight_ : 1);
+  }
 
  private:
   const std::vector<const Backend*>& backends_;
   const BackendLoadTable& loads_;
+  const std::optional<ZoneId> local_zone_;
+  const double local_weight_;
 };
 
 }  // namespace
@@ -40,6 +47,8 @@
 void PlacementEngine::setConfiguration(ConfigurationViewPtr configuration) {
   candidates_.clear();
   configuration_ = std::move(configuration);
+  const Zone* local_zone = configuration_->zoneNamed(settings_.local_zone);
+  local_zone_ = local_zone == nullptr ? std::nullopt : std::optional<ZoneId>(local_zone->id);
 }
 
 Result<const Backend*, PlacementRefusal> PlacementEngine::place(const Service& service,
@@ -76,7 +85,7 @@
 const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow) {
   std::vector<const Backend*>& backends = list.backends;
   while (!backends.empty()) {
-    const LoadedCandidates candidates(backends, loads_);
+    const LoadedCandidates candidates(backends, loads_, local_zone_, settings_.local_weight);
     const std::size_t index = policy_->choose(candidates, flow, random_);
     const Backend* chosen = backends[index];
     if (fits(*chosen, list)) {
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+#include <string>
 #include <unordered_map>
 
 #include "common/result.h"
@@ -32,6 +34,10 @@
   /** Time that callers are told to wait when there is no candidate at all. */
   Duration retry_after = seconds(1);
   OutlierSettings outliers;
+  /** Zone of this balancer; empty for none. */
+  std::string local_zone;
+  /** Weight of a back end in the local zone, as a multiple of that of others. */
+  double local_weight = 1;
 };
 
 /** What else a node has learnt of back ends. */
@@ -116,6 +122,8 @@
   const BackendSuspicion* suspicion_ = nullptr;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
+  /** Id of the local zone in the configuration in force. */
+  std::optional<ZoneId> local_zone_;
 };
 
 }  // namespace lugfork
--- a/src/flow/policy/bounded_rendezvous_policy.cc
+++ b/src/flow/policy/bounded_rendezvous_policy.cc
@@ -12,11 +12,11 @@
 constexpr double kLoadBound = 1.25;
 
 /** @return the rendezvous score; the highest wins, in proportion to the weight. */
-double score(const FlowId& flow, const Backend& backend) {
-  const std::uint64_t content[] = {flow.high, flow.low, backend.id.value()};
+double score(const FlowId& flow, BackendId backend, double weight) {
+  const std::uint64_t content[] = {flow.high, flow.low, backend.value()};
   const std::uint64_t hash = XXH3_64bits(content, sizeof(content));
   const double unit = (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
-  return -static_cast<double>(backend.slots) / std::log(unit);
+  return -weight / std::log(unit);
 }
 
 double meanLoad(const CandidateSet& candidates) {
@@ -38,7 +38,8 @@
     if (candidates.estimatedLoad(index) > bound) {
       continue;
     }
-    const double candidate_score = score(flow, candidates.backend(index));
+    const double candidate_score =
+        score(flow, candidates.backend(index).id, candidates.weight(index));
     if (candidate_score > best_score) {
       best = index;
       best_score = candidate_score;
--- a/src/flow/policy/placement_policy.h
+++ b/src/flow/policy/placement_policy.h
@@ -24,6 +24,9 @@
 
   /** @return last reported load over capacity. */
   virtual double reportedLoad(std::size_t index) const = 0;
+
+  /** @return share of new flows that suits the candidate, relative to the others. */
+  virtual double weight(std::size_t index) const = 0;
 };
 
 /** Chooses one candidate for a new flow. */
--- a/tests/flow/placement_engine_test.cc
+++ b/tests/flow/placement_engine_test.cc
@@ -275,5 +275,27 @@
   });
 }
 
+TEST_CASE("back ends in the local zone get the share that their weight gives", "[placement]") {
+  PlacementSettings settings;
+  settings.local_zone = "ariana";
+  settings.local_weight = 3;
+  PlacementHarness harness(0, "bounded_rendezvous", settings);
+  Configuration configuration = twoServices();
+  configuration.services[0].allowed_zones = {kLac, kAriana};
+  configuration.backends.clear();
+  for (std::uint32_t id = 1; id <= 20; ++id) {
+    configuration.backends.push_back(makeBackend(id, ServiceId(1), id % 2 == 0 ? kLac : kAriana));
+  }
+  harness.setConfiguration(configuration);
+  int local = 0;
+  for (int flow = 0; flow < 4000; ++flow) {
+    harness.time.elapsed += seconds(1);
+    local += harness.place().value()->zone == kAriana ? 1 : 0;
+  }
+  // Three quarters, but for the back end that got the last flow and is passed over.
+  CHECK(local > 2700);
+  CHECK(local < 3200);
+}
+
 }  // namespace
 }  // namespace lugfork
