Log beliefs and views with each decision; metrics for the platform; check its names

Cause: an engineer has only logs and metrics, and the lines of decisions did not say by which state of the platform they were made; a back end's suspicion and death were not logged at all. Ruled out, for the unit test of a broken item and the follower's: a fault of the node; their harness let less time pass than the pause of 400 ms between watches.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
 
 lint: build
-	git ls-files 'src/*.cc' 'tests/*.cc' 'bench/*.cc' | xargs -P "$$(nproc)" -n 4 clang-tidy -p build --quiet
+	git ls-files 'src/*.cc' 'platform/*.cc' 'tests/*.cc' 'bench/*.cc' | xargs -P "$$(nproc)" -n 4 clang-tidy -p build --quiet
 
 clean:
 	rm -rf build
--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -14,10 +14,6 @@
   return placement;
 }
 
-std::int64_t toMilliseconds(Duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 }  // namespace
 
 PacketNode::PacketNode(PacketNodeSettings settings, const PlatformLayout& layout,
@@ -33,7 +29,7 @@
                  loads_, time_source, random),
       decider_(settings_.decider, time_source, placement_, *this),
       observer_(settings_.observer, time_source),
-      silence_(settings_.silence, time_source),
+      silence_(settings_.silence, time_source, log),
       tokens_(settings_.token_key),
       router_(decider_, silence_, observer_, tokens_, sender, *this, log),
       follower_(layout.prefix, settings_.follower, source, scheduler, time_source, random, *this) {
@@ -63,6 +59,10 @@
   return isComplete() && follower_.isFresh();
 }
 
+ViewStamp PacketNode::viewStamp() const {
+  return {follower_.revision(), follower_.age()};
+}
+
 void PacketNode::onHandshake(Duration duration) {
   if (on_handshake_) {
     on_handshake_(duration);
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -85,6 +85,7 @@
   void onNewerConfigurationSeen(ConfigVersion) override {}
   void onBackendDraining(BackendId) override {}
   bool viewIsFresh() const override;
+  ViewStamp viewStamp() const override;
   void onHandshake(Duration duration) override;
 
   // ViewFollowerHost
--- a/src/common/time_source.h
+++ b/src/common/time_source.h
@@ -40,10 +40,20 @@
   }
 };
 
+/** @return the whole milliseconds of a duration. */
+inline std::int64_t toMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+/** @return the same as messages carry it. */
+inline std::uint32_t toWireMilliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(toMilliseconds(duration));
+}
+
 /** @return the whole milliseconds since the Unix epoch. */
 inline std::uint64_t toUnixMilliseconds(SystemTime time) {
   return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count());
+      toMilliseconds(std::chrono::duration_cast<Duration>(time.time_since_epoch())));
 }
 
 }  // namespace lugfork
--- a/src/config/toml_settings.cc
+++ b/src/config/toml_settings.cc
@@ -57,6 +57,11 @@
       for (const auto& [key, node] : table) {
         const std::string name(key.str());
         requireKnown(name, key.source().begin.line);
+        const toml::array* list = node.as_array();
+        if (list != nullptr && list->empty()) {
+          // The same as a key that is not given; CLI11 takes no option without a value.
+          continue;
+        }
         entries.push_back(toConfigItem(name, node));
       }
     } catch (const toml::parse_error& error) {
--- a/src/discovery/backend_registry.cc
+++ b/src/discovery/backend_registry.cc
@@ -41,6 +41,7 @@
   if (state_changed) {
     log_.write(LogLevel::Info, "discovery", "backend_state",
                {{"backend", record.name},
+                {"backend_id", server.id.value()},
                 {"service", record.service},
                 {"address", toString(record.address)},
                 {"backend_zone", record.zone},
@@ -59,6 +60,7 @@
   server.retired_at = time_source_.monotonicTime();
   log_.write(LogLevel::Info, "discovery", "backend_state",
              {{"backend", server.record.name},
+              {"backend_id", server.id.value()},
               {"service", server.record.service},
               {"address", toString(server.record.address)},
               {"state", "retired"},
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -8,10 +8,6 @@
 
 namespace {
 
-std::uint32_t toMilliseconds(Duration duration) {
-  return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(duration).count());
-}
-
 /** Refusals after which another back end may take the request at once. */
 bool mayPlaceAgainAfter(Reason reason) {
   return reason == Reason::Overloaded || reason == Reason::Draining ||
@@ -199,13 +195,13 @@
 void FlowRouter::refuseOpen(Endpoint caller, const FlowKey& key, Reason reason,
                             Duration retry_after) {
   ++counters_.refusals_by_reason[static_cast<std::size_t>(reason)];
-  sender_.sendDatagram(caller, Refused{key, reason, toMilliseconds(retry_after), TokenBytes(),
+  sender_.sendDatagram(caller, Refused{key, reason, toWireMilliseconds(retry_after), TokenBytes(),
                                        RefusalScope::Placement});
 }
 
 void FlowRouter::reset(Endpoint caller, const FlowKey& key, Reason reason) {
   ++counters_.resets_by_reason[static_cast<std::size_t>(reason)];
-  sender_.sendDatagram(caller, Reset{key, reason, toMilliseconds(settings_.retry_after)});
+  sender_.sendDatagram(caller, Reset{key, reason, toWireMilliseconds(settings_.retry_after)});
 }
 
 }  // namespace lugfork
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -34,13 +34,17 @@
   observer_.onPlaced(packet, backend.id);
   silence_.onOpening(backend.id);
   sender_.forwardPacket(backend, tokens_.encode(packet.flow(), backend.id));
+  const ViewStamp view = host_.viewStamp();
   log_.write(LogLevel::Info, "flow", "flow_placed",
              {{"flow", flowName(packet)},
               {"copy", packet.acknowledged},
               {"backend", backend.name},
               {"backend_address", toString(backend.address)},
+              {"backend_id", backend.id.value()},
               {"service", decision.value().service->name},
-              {"view", decider_.configuration()->version().value()}});
+              {"passed_over", silent == BackendId() ? 0U : silent.value()},
+              {"revision", view.revision},
+              {"view_age_ms", toMilliseconds(view.age)}});
 }
 
 BackendId PacketRouter::silentChoice(const FlowPacket& packet) {
@@ -66,8 +70,12 @@
     return;
   }
   ++counters_.drops_not_certain;
+  const ViewStamp view = host_.viewStamp();
   log_.write(LogLevel::Info, "flow", "opening_dropped",
-             {{"flow", flowName(packet)}, {"reason", toString(refusal.reason)}});
+             {{"flow", flowName(packet)},
+              {"reason", toString(refusal.reason)},
+              {"revision", view.revision},
+              {"view_age_ms", toMilliseconds(view.age)}});
 }
 
 void PacketRouter::onContinuation(const FlowPacket& packet) {
@@ -82,10 +90,13 @@
     return;
   }
   ++counters_.drops_unknown_backend;
+  const ViewStamp view = host_.viewStamp();
   log_.write(LogLevel::Info, "flow", "packet_dropped",
              {{"flow", flowName(packet)},
               {"token", packet.token.value},
-              {"reason", "token names no known back end"}});
+              {"reason", "token names no known back end"},
+              {"revision", view.revision},
+              {"view_age_ms", toMilliseconds(view.age)}});
 }
 
 void PacketRouter::onForward(const FlowPacket& packet, const ForwardDecision& forward) {
@@ -125,11 +136,15 @@
   }
   ++counters_.resets_by_reason[static_cast<std::size_t>(reason)];
   sender_.resetCaller(packet);
-  log_.write(LogLevel::Info, "flow", "flow_reset",
-             {{"flow", flowName(packet)},
-              {"opening", packet.opens},
-              {"reason", toString(reason)},
-              {"view", decider_.configuration()->version().value()}});
+  const ViewStamp view = host_.viewStamp();
+  log_.write(
+      LogLevel::Info, "flow", "flow_reset",
+      {{"flow", flowName(packet)},
+       {"opening", packet.opens},
+       {"reason", toString(reason)},
+       {"backend_id", packet.opens ? 0U : tokens_.decode(packet.flow(), packet.token).value()},
+       {"revision", view.revision},
+       {"view_age_ms", toMilliseconds(view.age)}});
 }
 
 std::string flowName(const FlowPacket& packet) {
--- a/src/flow/packet_router.h
+++ b/src/flow/packet_router.h
@@ -24,12 +24,22 @@
   std::array<std::uint64_t, kReasonCount> resets_by_reason{};
 };
 
+/** Which state of the platform a decision was made by. */
+struct ViewStamp {
+  std::uint64_t revision = 0;
+  /** Time since the platform told it. */
+  Duration age{};
+};
+
 /** What the packet router asks of the rest of the node. */
 class PacketRouterHost : public FlowRouterHost {
  public:
   /** @return true where what this node knows of routes and back ends is surely the newest. */
   virtual bool viewIsFresh() const = 0;
 
+  /** @return which state of the platform this node knows, for logs. */
+  virtual ViewStamp viewStamp() const = 0;
+
   /** A flow's handshake has ended, that long after its opening. */
   virtual void onHandshake(Duration duration) = 0;
 };
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -1,6 +1,7 @@
 #include "flow/placement_engine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lugfork {
 
@@ -37,7 +38,7 @@
 PlacementEngine::PlacementEngine(PlacementSettings settings, PlacementPolicyPtr policy,
                                  BackendLoadTable& loads, const TimeSource& time_source,
                                  RandomGenerator& random)
-    : settings_(settings),
+    : settings_(std::move(settings)),
       policy_(std::move(policy)),
       loads_(loads),
       time_source_(time_source),
--- a/src/flow/silence_detector.cc
+++ b/src/flow/silence_detector.cc
@@ -15,6 +15,9 @@
   Record& record = recordOf(backend);
   const MonotonicTime now = time_source_.monotonicTime();
   const bool first = record.opening_at == MonotonicTime();
+  if (!first && now - record.opening_at > settings_.handshake_timeout) {
+    tellBelief(backend, record, "opening_unanswered");
+  }
   if (first || now - record.opening_at > settings_.suspicion) {
     record.opening_at = now;
   }
@@ -27,6 +30,11 @@
 void SilenceDetector::onLife(BackendId backend, std::uint16_t repetitions) {
   const MonotonicTime now = time_source_.monotonicTime();
   Record& record = recordOf(backend);
+  if (record.suspicion_told) {
+    log_.write(
+        LogLevel::Info, "flow", "backend_shows_life",
+        {{"backend_id", backend.value()}, {"silent_ms", toMilliseconds(now - record.life_at)}});
+  }
   record = Record();
   record.life_at = now;
   const bool forgotten = now - survived_at_ > settings_.slow_memory;
@@ -108,6 +116,22 @@
   if (flows.size() < kMaxSilentFlows) {
     flows.push_back({flow, now, repetitions});
   }
+  tellBelief(backend, record, "repetition");
+}
+
+void SilenceDetector::tellBelief(BackendId backend, Record& record, std::string_view cause) {
+  const bool is_dead = looksDead(record);
+  if ((record.suspicion_told && !is_dead) || record.death_told) {
+    return;
+  }
+  record.suspicion_told = true;
+  record.death_told = is_dead;
+  log_.write(LogLevel::Info, "flow", is_dead ? "backend_believed_dead" : "backend_suspected",
+             {{"backend_id", backend.value()},
+              {"cause", std::string(cause)},
+              {"silent_ms", toMilliseconds(time_source_.monotonicTime() - record.life_at)},
+              {"silent_flows", static_cast<std::uint64_t>(record.silent_flows.size())},
+              {"repetitions_needed", static_cast<std::uint32_t>(repetitionsOfDead())}});
 }
 
 bool SilenceDetector::looksDead(const Record& record) const {
--- a/src/flow/silence_detector.h
+++ b/src/flow/silence_detector.h
@@ -3,6 +3,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "common/event_log.h"
 #include "common/ids.h"
 #include "common/time_source.h"
 #include "flow/placement_engine.h"
@@ -36,8 +37,8 @@
  */
 class SilenceDetector : public BackendSuspicion {
  public:
-  SilenceDetector(SilenceSettings settings, const TimeSource& time_source)
-      : settings_(settings), time_source_(time_source) {}
+  SilenceDetector(SilenceSettings settings, const TimeSource& time_source, EventLog& log)
+      : settings_(settings), time_source_(time_source), log_(log) {}
 
   /** An opening went to the back end. */
   void onOpening(BackendId backend);
@@ -79,16 +80,22 @@
     /** Last repetition since the last sign of life; unset for none. */
     MonotonicTime repeated_at;
     std::vector<SilentFlow> silent_flows;
+    /** What was logged since the last sign of life. */
+    bool suspicion_told = false;
+    bool death_told = false;
   };
 
   Record& recordOf(BackendId backend);
   const Record* find(BackendId backend) const;
   void noteSilentFlow(BackendId backend, const FlowId& flow, std::uint16_t repetitions);
   bool looksDead(const Record& record) const;
+  /** Logs a change of what is believed of the back end, once until its next sign of life. */
+  void tellBelief(BackendId backend, Record& record, std::string_view cause);
   std::uint16_t repetitionsOfDead() const;
 
   const SilenceSettings settings_;
   const TimeSource& time_source_;
+  EventLog& log_;
   std::unordered_map<BackendId, Record> records_;
   /** Most repetitions after which a back end still answered, and when that was last seen. */
   std::uint16_t survived_repetitions_ = 0;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -160,8 +160,13 @@
     : address_(address) {
   const bool encrypted = !security.certificate_file.empty();
   const auto timeout_ms = std::chrono::duration_cast<milliseconds>(limits.request_timeout).count();
+  const std::string suffix = encrypted ? "s" : "";
+  std::string ports = toString(address) + suffix;
+  if (limits.second_address.isSet()) {
+    ports += "," + toString(limits.second_address) + suffix;
+  }
   std::vector<std::string> options = {
-      "listening_ports",    toString(address) + (encrypted ? "s" : ""),
+      "listening_ports",    ports,
       "num_threads",        std::to_string(limits.threads),
       "request_timeout_ms", std::to_string(timeout_ms)};
   if (encrypted) {
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -48,6 +48,8 @@
 struct HttpServerLimits {
   /** Requests that are answered at a time; each has a thread. */
   unsigned threads = 16;
+  /** Further address at which the same server listens; unset for none. */
+  Endpoint second_address;
   /** Longest time for a request and its answer. */
   Duration request_timeout = seconds(10);
 };
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -69,7 +69,7 @@
   ready_server_ = std::make_unique<HttpServer>(
       settings_.ready_address,
       [this](const HttpRequest& request) { return onReadyRequest(request); }, HttpServerSecurity(),
-      HttpServerLimits{kReadyThreads, kHttpTimeout});
+      HttpServerLimits{kReadyThreads, Endpoint(), kHttpTimeout});
   if (!settings_.control_address.isSet()) {
     return;
   }
@@ -79,7 +79,7 @@
   control_server_ = std::make_unique<HttpServer>(
       settings_.control_address,
       [this](const HttpRequest& request) { return onControlRequest(request); }, security,
-      HttpServerLimits{kControlThreads, kHttpTimeout});
+      HttpServerLimits{kControlThreads, settings_.metrics_address, kHttpTimeout});
 }
 
 void PacketDaemon::run() {
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -29,6 +29,8 @@
   std::string ready_path;
   /** Other balancers' calls and metrics (HTTP); unset for none. */
   Endpoint control_address;
+  /** Second address of the same server, for who reads metrics; unset for none. */
+  Endpoint metrics_address;
   /** Control addresses of balancers that may be there. */
   std::vector<Endpoint> seeds;
   PeerDirectorySettings peers;
--- a/src/runtime/peer_http.cc
+++ b/src/runtime/peer_http.cc
@@ -153,8 +153,7 @@
 }
 
 std::uint32_t PeerRequestHandler::ageMilliseconds() const {
-  return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(follower_.age()).count());
+  return toWireMilliseconds(follower_.age());
 }
 
 }  // namespace lugfork
--- a/src/sim/backend_model.cc
+++ b/src/sim/backend_model.cc
@@ -12,10 +12,6 @@
 
 constexpr std::size_t kPastReportsKept = 1000;
 
-std::uint32_t toMilliseconds(Duration duration) {
-  return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(duration).count());
-}
-
 }  // namespace
 
 BackendModel::BackendModel(BackendModelSettings settings, const TimeSource& time_source,
@@ -323,7 +319,7 @@
                                Reason reason, bool not_run) {
   sender_.sendDatagram(balancer,
                        BackendRefusal{caller, key, settings_.service, settings_.id, reason, not_run,
-                                      toMilliseconds(settings_.retry_after)});
+                                      toWireMilliseconds(settings_.retry_after)});
 }
 
 void BackendModel::endFlow(Flow& flow) {
@@ -343,7 +339,7 @@
 
 BackendReport BackendModel::report() const {
   const BackendReport now = currentReport();
-  const std::uint64_t wanted_at = now.measured_at_ms - toMilliseconds(distortion_.lag);
+  const std::uint64_t wanted_at = now.measured_at_ms - toWireMilliseconds(distortion_.lag);
   BackendReport shown = now;
   if (distortion_.lag > Duration::zero() && !past_reports_.empty()) {
     const auto past = std::find_if(
@@ -369,7 +365,7 @@
   report.open_connections = static_cast<std::uint32_t>(open_flows_);
   report.busy_slots = busy_slots_;
   report.queued_requests = static_cast<std::uint32_t>(queue_.size());
-  report.uptime_ms = toMilliseconds(time_source_.monotonicTime() - started_at_);
+  report.uptime_ms = toWireMilliseconds(time_source_.monotonicTime() - started_at_);
   report.measured_at_ms = toUnixMilliseconds(time_source_.systemTime());
   return report;
 }
--- a/tests/balancer/packet_node_test.cc
+++ b/tests/balancer/packet_node_test.cc
@@ -19,7 +19,7 @@
     }
     if (value == "server" || value == "draining") {
       ServerRecord record;
-      record.incarnation = key.back();
+      record.incarnation = static_cast<unsigned char>(key.back());
       record.name = key;
       record.service = "listen";
       record.zone = "lac";
@@ -50,7 +50,7 @@
 
   void change(const ItemChange& change) {
     source.answerWatch(kPrefix, ItemChanges{{change}, change.item.revision});
-    scheduler.advance(milliseconds(100));
+    scheduler.advance(milliseconds(500));
   }
 
   void open(std::uint16_t port, Endpoint service = kListen) {
@@ -77,16 +77,16 @@
 TEST_CASE("a node is ready once routes and servers are known", "[packet_node]") {
   PacketNodeHarness harness;
   CHECK_FALSE(harness.node.isReady());
-  harness.read({item("routes/all", 2, "route"), item("servers/a", 3, "server")});
+  harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server")});
   CHECK(harness.node.isReady());
   CHECK(harness.completions == 1);
   harness.open(5000);
-  CHECK(harness.forwarded == std::vector<std::string>{"servers/a"});
+  CHECK(harness.forwarded == std::vector<std::string>{"backends/a"});
 }
 
 TEST_CASE("the first routes may come after the first full read", "[packet_node]") {
   PacketNodeHarness harness;
-  harness.read({item("servers/a", 3, "server")});
+  harness.read({item("backends/a", 3, "server")});
   CHECK_FALSE(harness.node.isReady());
   harness.open(5000);
   CHECK(harness.resets == 0);
@@ -97,28 +97,28 @@
 
 TEST_CASE("a draining server gets no new flows", "[packet_node]") {
   PacketNodeHarness harness;
-  harness.read({item("routes/all", 2, "route"), item("servers/a", 3, "server"),
-                item("servers/b", 4, "server")});
-  harness.change(written("servers/a", 12, "draining"));
+  harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server"),
+                item("backends/b", 4, "server")});
+  harness.change(written("backends/a", 12, "draining"));
   for (std::uint16_t port = 1; port <= 50; ++port) {
     harness.open(port);
   }
-  CHECK(harness.forwarded == std::vector<std::string>(50, "servers/b"));
+  CHECK(harness.forwarded == std::vector<std::string>(50, "backends/b"));
 }
 
 TEST_CASE("a broken item changes nothing and is counted", "[packet_node]") {
   PacketNodeHarness harness;
-  harness.read({item("routes/all", 2, "route"), item("servers/a", 3, "server")});
-  harness.change(written("servers/a", 12, "garbage"));
+  harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server")});
+  harness.change(written("backends/a", 12, "garbage"));
   harness.change(written("routes/all", 13, "garbage"));
   CHECK(harness.node.counters().records_invalid == 2);
   harness.open(5000);
-  CHECK(harness.forwarded == std::vector<std::string>{"servers/a"});
+  CHECK(harness.forwarded == std::vector<std::string>{"backends/a"});
 }
 
 TEST_CASE("a leaving node is not ready and still serves", "[packet_node]") {
   PacketNodeHarness harness;
-  harness.read({item("routes/all", 2, "route"), item("servers/a", 3, "server")});
+  harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server")});
   harness.node.startLeaving();
   CHECK_FALSE(harness.node.isReady());
   harness.open(5000);
--- a/tests/config/toml_settings_test.cc
+++ b/tests/config/toml_settings_test.cc
@@ -53,6 +53,13 @@
   return outcome;
 }
 
+TEST_CASE("an empty list is the same as none") {
+  const Outcome outcome = runWith("name = \"a\"\nplatform = []\n");
+  CHECK(outcome.error.empty());
+  CHECK(outcome.exit_code == kExitSuccess);
+  CHECK(outcome.platform.empty());
+}
+
 TEST_CASE("a settings file gives every value, and flags win") {
   const std::string settings =
       "name = \"a\"\ninterval = 250\nplatform = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\n";
--- a/tests/discovery/backend_registry_test.cc
+++ b/tests/discovery/backend_registry_test.cc
@@ -62,8 +62,8 @@
 
 TEST_CASE("a server that is gone stays reachable and gets nothing new", "[backend_registry]") {
   RegistryHarness harness;
-  harness.registry.onServer("servers/a", server(0xa, "listen", addressOf(1)), 3, 3);
-  harness.registry.onServerGone("servers/a", 9);
+  harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 3, 3);
+  harness.registry.onServerGone("backends/a", 9);
   auto view = harness.registry.makeConfiguration();
   const Backend* backend = harness.find(view, 0xa);
   REQUIRE(backend != nullptr);
@@ -79,18 +79,18 @@
 
 TEST_CASE("a server that comes back to the platform is ready again", "[backend_registry]") {
   RegistryHarness harness;
-  harness.registry.onServer("servers/a", server(0xa, "listen", addressOf(1)), 3, 3);
-  harness.registry.onServerGone("servers/a", 9);
-  harness.registry.onServer("servers/a", server(0xa, "listen", addressOf(1)), 12, 12);
+  harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 3, 3);
+  harness.registry.onServerGone("backends/a", 9);
+  harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 12, 12);
   const auto view = harness.registry.makeConfiguration();
   CHECK_FALSE(harness.find(view, 0xa)->retired);
 }
 
 TEST_CASE("a draining server is kept as leaving", "[backend_registry]") {
   RegistryHarness harness;
-  harness.registry.onServer("servers/a", server(0xa, "listen", addressOf(1)), 3, 3);
-  harness.registry.onServer("servers/a", server(0xa, "listen", addressOf(1), ServerState::Draining),
-                            5, 3);
+  harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 3, 3);
+  harness.registry.onServer("backends/a",
+                            server(0xa, "listen", addressOf(1), ServerState::Draining), 5, 3);
   CHECK(harness.find(harness.registry.makeConfiguration(), 0xa)->draining);
 }
 
--- a/tests/flow/packet_router_test.cc
+++ b/tests/flow/packet_router_test.cc
@@ -33,6 +33,7 @@
   void onNewerConfigurationSeen(ConfigVersion) override {}
   void onBackendDraining(BackendId) override {}
   bool viewIsFresh() const override { return fresh; }
+  ViewStamp viewStamp() const override { return {12, milliseconds(30)}; }
   void onHandshake(Duration duration) override { handshakes.push_back(duration); }
 
   FlowPacket packet(std::uint16_t port, Endpoint service = kListen) const {
@@ -72,7 +73,7 @@
                             time, *random};
   FlowDecider decider{FlowDeciderSettings(), time, placement, *this};
   FlowObserver observer{FlowObserverSettings{65536}, time};
-  SilenceDetector silence{SilenceSettings(), time};
+  SilenceDetector silence{SilenceSettings(), time, log};
   CompactTokenCodec tokens{CompactTokenKey{9, 9, 9}};
   PacketRouter router{decider, silence, observer, tokens, *this, *this, log};
   Reason blocked_by = Reason::None;
--- a/tests/flow/placement_engine_test.cc
+++ b/tests/flow/placement_engine_test.cc
@@ -13,7 +13,7 @@
 /** One service with that many back ends in one zone, and the engine that places its flows. */
 struct PlacementHarness {
   explicit PlacementHarness(std::uint32_t backends, const std::string& policy = "power_of_two",
-                            PlacementSettings settings = {})
+                            const PlacementSettings& settings = {})
       : engine(settings, makePlacementPolicy(policy), loads, time, *random) {
     Configuration configuration = twoServices();
     configuration.backends.clear();
--- a/tests/platform/packetd_test.cc
+++ b/tests/platform/packetd_test.cc
@@ -1,6 +1,7 @@
 /** lugfork-packetd as a process, against a stand-in of the store, on loopback. */
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -117,9 +118,8 @@
   void start() {
     pid_ = ::fork();
     if (pid_ == 0) {
-      if (std::freopen(log_file_.c_str(), "a", stdout) == nullptr) {
-        _exit(127);
-      }
+      const int log = ::open(log_file_.c_str(), O_WRONLY | O_APPEND);
+      ::dup2(log, STDOUT_FILENO);
       ::execl(LUGFORK_PACKETD, LUGFORK_PACKETD, "--settings", settings_file_.c_str(), nullptr);
       _exit(127);
     }
@@ -260,11 +260,9 @@
   Bytes data(first.begin() + kPrefixBytes, first.end());
   data[kFlagsAt] = 2;
   client.send(daemon.packetAddress(), data);
-  CHECK(server.receive() == [&] {
-    Bytes expected(first.begin(), first.begin() + kPrefixBytes);
-    expected.insert(expected.end(), data.begin(), data.end());
-    return expected;
-  }());
+  Bytes expected = first;
+  std::copy(data.begin(), data.end(), expected.begin() + kPrefixBytes);
+  CHECK(server.receive() == expected);
 }
 
 TEST_CASE("bad input is counted and changes nothing", "[packetd]") {
