--- a/src/discovery/peer_exchange.h
+++ b/src/discovery/peer_exchange.h
@@ -10,25 +10,23 @@
 struct PeerExchangeSettings {
   Duration interval = seconds(10);
   /** Longest random delay of the first exchange, so that a fleet does not ask its seeds at once. */
-  Duration first_delay = milliseconds(500);
+  Duration first_delay = seconds(5);
 };
 
-/** Keeps a PeerDirectory filled: asks the seeds at the start and then one peer after the other. */
+/** Keeps a PeerDirectory filled: asks one peer after the other, a seed while none is known. */
 class PeerExchange {
  public:
-  PeerExchange(PeerExchangeSettings settings, Endpoint own_address, std::vector<Endpoint> seeds,
-               PeerDirectory& directory, PeerClient& client, Scheduler& scheduler,
-               RandomGenerator& random);
+  PeerExchange(PeerExchangeSettings settings, Endpoint own_address, PeerDirectory& directory,
+               PeerClient& client, Scheduler& scheduler, RandomGenerator& random);
 
   void start();
 
  private:
+  void exchangeAfter(Duration delay);
   void exchangeWith(Endpoint peer);
-  void exchangeLater();
 
   const PeerExchangeSettings settings_;
   const Endpoint own_address_;
-  const std::vector<Endpoint> seeds_;
   PeerDirectory& directory_;
   PeerClient& client_;
   Scheduler& scheduler_;
