--- a/src/runtime/peer_http.cc
+++ b/src/runtime/peer_http.cc
@@ -1,6 +1,5 @@
 #include "runtime/peer_http.h"
 
-#include <civetweb.h>
 #include <sodium.h>
 
 #include <charconv>
@@ -8,6 +7,7 @@
 #include "common/endpoint_parser.h"
 #include "runtime/api_response.h"
 #include "runtime/http_call_result.h"
+#include "runtime/url_encoding.h"
 #include "wire/view_codec.h"
 
 namespace lugfork {
@@ -23,13 +23,6 @@
 constexpr int kHttpGone = 410;
 constexpr Duration kCallTimeout = seconds(1);
 constexpr std::size_t kBearerBytes = 16;
-constexpr std::size_t kMaxEncodedKeyBytes = 1024;
-
-std::string urlEncode(const std::string& text) {
-  std::array<char, kMaxEncodedKeyBytes> encoded{};
-  mg_url_encode(text.c_str(), encoded.data(), encoded.size());
-  return encoded.data();
-}
 
 HttpResponse msgpackResponse(std::string body) {
   HttpResponse response;
--- /dev/null
+++ b/tests/platform/packetd_fixture.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <thread>
+
+#include "platform/store_standin.h"
+#include "runtime/http_client.h"
+
+/** lugfork-packetd as a process on loopback, and the sockets of its callers and servers. */
+namespace lugfork::platform {
+using Clock = std::chrono::steady_clock;
+using Bytes = std::vector<std::uint8_t>;
+
+inline constexpr std::uint32_t kLoopback = 0x7f000001;
+inline constexpr auto kPatience = std::chrono::seconds(15);
+inline const std::string kKey = "00112233445566778899aabbccddeeff";
+
+/** UDP socket of a test; receives with a time limit. */
+class TestSocket {
+ public:
+  explicit TestSocket(std::uint32_t address = kLoopback, std::uint16_t port = 0)
+      : socket_(::socket(AF_INET, SOCK_DGRAM, 0)) {
+    const sockaddr_in name = nameOf({address, port});
+    REQUIRE(::bind(socket_, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0);
+    const timeval limit{1, 0};
+    setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+  ~TestSocket() { ::close(socket_); }
+  TestSocket(const TestSocket&) = delete;
+  TestSocket& operator=(const TestSocket&) = delete;
+
+  Endpoint address() const {
+    sockaddr_in name{};
+    socklen_t size = sizeof(name);
+    getsockname(socket_, reinterpret_cast<sockaddr*>(&name), &size);
+    return {ntohl(name.sin_addr.s_addr), ntohs(name.sin_port)};
+  }
+
+  void send(Endpoint to, const Bytes& bytes) {
+    const sockaddr_in name = nameOf(to);
+    ::sendto(socket_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&name),
+             sizeof(name));
+  }
+
+  Bytes receive() {
+    Bytes bytes(2048);
+    const auto size = ::recv(socket_, bytes.data(), bytes.size(), 0);
+    bytes.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+    return bytes;
+  }
+
+ private:
+  static sockaddr_in nameOf(Endpoint endpoint) {
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(endpoint.address);
+    name.sin_port = htons(endpoint.port);
+    return name;
+  }
+
+  int socket_;
+};
+
+inline std::uint16_t freeTcpPort() {
+  const HttpServer server({kLoopback, 0}, [](const HttpRequest&) { return HttpResponse(); });
+  return server.localAddress().port;
+}
+
+inline std::string temporaryFile(const std::string& content) {
+  std::string path = "/tmp/lugfork-packetd-XXXXXX";
+  const int file = mkstemp(path.data());
+  REQUIRE(file >= 0);
+  ::close(file);
+  std::ofstream(path) << content;
+  return path;
+}
+
+/** One daemon; killed at the end of the test if it still runs. */
+class Packetd {
+ public:
+  Packetd(Endpoint store, const std::vector<Endpoint>& seeds = {})
+      : ready_{kLoopback, freeTcpPort()}, control_{kLoopback, freeTcpPort()} {
+    TestSocket probe;
+    packet_ = probe.address();
+    std::string settings = "name = \"n\"\nzone = \"lac\"\ntoken-key = \"" + kKey +
+                           "\"\nstore = \"" + toString(store) + "\"\npacket-address = \"" +
+                           toString(packet_) + "\"\nready-address = \"" + toString(ready_) +
+                           "\"\ncontrol-address = \"" + toString(control_) +
+                           "\"\nleave-minimum = 300\nleave-quiet = 100\nseeds = [";
+    for (const Endpoint& seed : seeds) {
+      settings += "\"" + toString(seed) + "\",";
+    }
+    settings_file_ = temporaryFile(settings + "]\n");
+    log_file_ = temporaryFile("");
+  }
+
+  ~Packetd() {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+    std::remove(settings_file_.c_str());
+    std::remove(log_file_.c_str());
+  }
+  Packetd(const Packetd&) = delete;
+  Packetd& operator=(const Packetd&) = delete;
+
+  void start() {
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      const int log = ::open(log_file_.c_str(), O_WRONLY | O_APPEND);
+      ::dup2(log, STDOUT_FILENO);
+      ::execl(LUGFORK_PACKETD, LUGFORK_PACKETD, "--settings", settings_file_.c_str(), nullptr);
+      _exit(127);
+    }
+  }
+
+  void signal(int number) const { ::kill(pid_, number); }
+
+  /** @return the exit code, or -1 where the process ended otherwise. */
+  int wait() {
+    int status = 0;
+    ::waitpid(pid_, &status, 0);
+    pid_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+  int readyStatus() const {
+    HttpCall call;
+    call.server = ready_;
+    call.target = "/ready";
+    const auto reply = httpRequest(call);
+    return reply ? reply.value().status : 0;
+  }
+
+  bool waitForReady(int status) const {
+    return eventually([&] { return readyStatus() == status; });
+  }
+
+  std::string metrics() const {
+    HttpCall call;
+    call.server = control_;
+    call.target = "/metrics";
+    const auto reply = httpRequest(call);
+    return reply ? reply.value().body : "";
+  }
+
+  bool metricsSay(const std::string& line) const {
+    return eventually([&] { return metrics().find(line) != std::string::npos; });
+  }
+
+  std::string log() const {
+    std::ifstream file(log_file_);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  }
+
+  static bool eventually(const std::function<bool()>& condition) {
+    const auto limit = Clock::now() + kPatience;
+    while (Clock::now() < limit) {
+      if (condition()) {
+        return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+  }
+
+  Endpoint packetAddress() const { return packet_; }
+  Endpoint controlAddress() const { return control_; }
+  const std::string& settingsFile() const { return settings_file_; }
+
+ private:
+  Endpoint ready_;
+  Endpoint control_;
+  Endpoint packet_;
+  std::string settings_file_;
+  std::string log_file_;
+  pid_t pid_ = 0;
+};
+
+}  // namespace lugfork::platform
