Serve the product's own stand-in platform behind the same interface

Cause: the view by revision had a source for the users' store and for peers, none for the product's own platform model, so that only the adapter showed that the interface fits. Ruled out: moving the product's daemon to it now (its configuration spread decides by versions and peers; a change of its own). Change: PlatformItemSource, followed by a ViewFollower in its tests.

--- /dev/null
+++ b/tests/sim/platform_item_source_test.cc
@@ -0,0 +1,61 @@
+#include "sim/platform_item_source.h"
+
+#include <catch2/catch.hpp>
+
+#include "discovery/discovery_fixture.h"
+#include "discovery/view_follower.h"
+
+namespace lugfork {
+namespace {
+
+/** A ViewFollower over the product's own stand-in, as over any platform. */
+struct StandinHarness : ViewFollowerHost {
+  StandinHarness() {
+    follower.start();
+    scheduler.advance(milliseconds(10));
+  }
+
+  void onItems(const std::vector<ItemChange>& changes) override {
+    for (const ItemChange& change : changes) {
+      known[change.item.key] = change.item.value;
+    }
+  }
+  void onComplete() override {}
+  void onSourceLost(SourceError cause) override { losses.push_back(cause); }
+  void onSourceRegained(Duration) override {}
+
+  ManualTimeSource time;
+  ManualScheduler scheduler{time};
+  PlatformModel platform{time, "document 1", "machines 1"};
+  PlatformItemSource source{platform, scheduler, time};
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
+  std::map<std::string, std::string> known;
+  std::vector<SourceError> losses;
+  ViewFollower follower{"", ViewFollowerSettings(), source, scheduler, time, *random, *this};
+};
+
+using Known = std::map<std::string, std::string>;
+
+TEST_CASE("the product's own stand-in is followed as any platform", "[platform_item_source]") {
+  StandinHarness harness;
+  CHECK(harness.follower.isComplete());
+  CHECK(harness.known == Known{{"configuration", "document 1"}, {"machines", "machines 1"}});
+  harness.platform.setMachines("machines 2");
+  harness.scheduler.advance(milliseconds(100));
+  CHECK(harness.known["machines"] == "machines 2");
+}
+
+TEST_CASE("an outage of the stand-in changes nothing that is known", "[platform_item_source]") {
+  StandinHarness harness;
+  harness.platform.setOutage(true);
+  harness.scheduler.advance(seconds(5));
+  CHECK(harness.losses == std::vector<SourceError>{SourceError::Unavailable});
+  CHECK(harness.known.size() == 2);
+  harness.platform.setMachines("machines 3");
+  harness.platform.setOutage(false);
+  harness.scheduler.advance(seconds(5));
+  CHECK(harness.known["machines"] == "machines 3");
+}
+
+}  // namespace
+}  // namespace lugfork
