--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -165,10 +165,9 @@
   if (limits.second_address.isSet()) {
     ports += "," + toString(limits.second_address) + suffix;
   }
-  std::vector<std::string> options = {
-      "listening_ports",    ports,
-      "num_threads",        std::to_string(limits.threads),
-      "request_timeout_ms", std::to_string(timeout_ms)};
+  std::vector<std::string> options = {"listening_ports",    ports,
+                                      "num_threads",        std::to_string(limits.threads),
+                                      "request_timeout_ms", std::to_string(timeout_ms)};
   if (encrypted) {
     requireTls();
     options.insert(options.end(), {"ssl_certificate", security.certificate_file});
