Follow a balancer that watches the store in place of watching it

Every balancer watched the store, so each change woke each watch.

Change: peers have ranks (hash of the address), so all agree without agreement on who watches: one balancer in sixteen. The others ask one of them every 400 ms over UDP how new its view is, and read changes from it only where there are some. A watcher that is silent for 0.45 s, stops, or whose view is older than 1.8 s sends the same watch to the store at once. The directory keeps the lowest ranks and estimates the fleet's size by them. Watches wait for 1 s instead of 3 s, so that the age of a watcher's view stays under that limit.

The server's close now wakes the loop by a connection of its own.

Ruled out: longer watches alone (the idle ones are a third of the calls, changes the rest); polls over HTTP (CivetWeb has a thread for each connection).

--- a/src/discovery/failover_source.h
+++ b/src/discovery/failover_source.h
@@ -41,6 +41,9 @@
 
   bool isFollowingPeers() const { return following_peers_; }
 
+  /** @return false since the store's last answer was a failure. */
+  bool storeAnswers() const { return !store_failing_; }
+
  private:
   bool storeIsDue() const;
   void onStoreAnswer();
--- a/src/discovery/peer_client.h
+++ b/src/discovery/peer_client.h
@@ -23,4 +23,26 @@
   virtual void exchangePeers(Endpoint peer, Endpoint own_address, PeersCallback callback) = 0;
 };
 
+/** How new another balancer's view is. */
+struct ViewStatus {
+  /** All changes up to this one are in the view. */
+  Revision position = 0;
+  /** Time since the store told it [ms]. */
+  std::uint32_t age_ms = 0;
+  /** False until the view is complete, and where the balancer is about to stop. */
+  bool serves_view = false;
+  auto fields() { return std::tie(position, age_ms, serves_view); }
+};
+
+/** Asks balancers how new their views are, for less than a call of PeerClient costs. */
+class ViewStatusClient {
+ public:
+  virtual ~ViewStatusClient() = default;
+
+  using StatusCallback = std::function<void(Result<ViewStatus, SourceError>)>;
+
+  /** Calls back once, from the event loop and never at once. */
+  virtual void askStatus(Endpoint peer, StatusCallback callback) = 0;
+};
+
 }  // namespace lugfork
--- a/src/discovery/peer_directory.h
+++ b/src/discovery/peer_directory.h
@@ -12,15 +12,24 @@
 
 /** Tunables of a PeerDirectory. */
 struct PeerDirectorySettings {
-  /** Peers remembered at most, besides the seeds. */
-  std::size_t size = 32;
+  /** Peers remembered at most, besides the seeds; those with the lowest ranks are kept. */
+  std::size_t size = 256;
   /** Time after which a peer that was not heard of is forgotten. */
   Duration lifetime = seconds(60);
+  /** Time for which a peer that failed is not taken back on the word of others. */
+  Duration quarantine = seconds(30);
 };
 
+/** Position of a balancer in an order that all balancers share without agreement. */
+using PeerRank = std::uint64_t;
+
+/** @return the rank of a balancer: a hash of its address, so that ranks are spread evenly. */
+PeerRank peerRank(Endpoint peer);
+
 /**
  * Addresses of other balancers: the seeds of the settings, which may be old, and those that asked
- * this one or were told by another. Each node knows a few, whatever the size of the fleet.
+ * this one or were told by another. Each node knows a few, whatever the size of the fleet. Since
+ * the lowest ranks are kept, all nodes come to know the same ones.
  */
 class PeerDirectory {
  public:
@@ -33,7 +42,7 @@
   /** Another node told of these peers. */
   void onTold(const std::vector<Endpoint>& peers);
 
-  /** A peer did not answer: it is forgotten, unless it is a seed. */
+  /** A peer did not answer, or not well: it is forgotten and stays in quarantine for a while. */
   void onFailed(Endpoint peer);
 
   /** @return a random peer that was heard of lately, or a seed; nothing where there is none. */
@@ -42,9 +51,20 @@
   /** @return the peers heard of lately, to tell others. */
   std::vector<Endpoint> recent();
 
+  /** @return peers and seeds that are not in quarantine, the lowest rank first. */
+  std::vector<Endpoint> ranked();
+
+  /**
+   * @return the number of balancers, this one included: counted while all fit in the directory,
+   * else estimated from how densely the ranks that were kept lie.
+   */
+  double fleetSize();
+
  private:
   void forgetOld();
   void add(Endpoint peer);
+  void evictHighestRank();
+  bool isQuarantined(Endpoint peer) const;
 
   const PeerDirectorySettings settings_;
   const Endpoint own_address_;
@@ -52,6 +72,7 @@
   const TimeSource& time_source_;
   RandomGenerator& random_;
   std::map<Endpoint, MonotonicTime> heard_at_;
+  std::map<Endpoint, MonotonicTime> failed_at_;
 };
 
 }  // namespace lugfork
--- /dev/null
+++ b/src/discovery/relayed_source.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "common/scheduler.h"
+#include "discovery/peer_client.h"
+#include "discovery/upstream_selector.h"
+
+namespace lugfork {
+
+/** Tunables of a RelayedSource. */
+struct RelaySettings {
+  /** Pause between two questions to the upstream while there is nothing new. */
+  Duration interval = milliseconds(400);
+  /** Age of the upstream's view from which the store is asked instead. */
+  Duration max_age = milliseconds(1800);
+};
+
+/** Told whom this balancer follows. */
+class RelayHost {
+ public:
+  virtual ~RelayHost() = default;
+
+  /** @return false while the store does not answer, so that there is nothing better to follow. */
+  virtual bool storeAnswers() const = 0;
+  virtual void onUpstreamFollowed(Endpoint upstream) = 0;
+  virtual void onUpstreamLeft(Endpoint upstream, std::string_view cause) = 0;
+};
+
+/** Counts of a RelayedSource. */
+struct RelayCounters {
+  std::uint64_t questions = 0;
+  std::uint64_t failures = 0;
+  /** Changes that were read from an upstream. */
+  std::uint64_t reads = 0;
+};
+
+/**
+ * Follows another balancer's view in place of watching the store, so that the calls to the store
+ * do not grow with the fleet. Full reads and the first watch after them go to the store; so does
+ * a watch whenever the upstream is silent, has an old view or none.
+ */
+class RelayedSource : public ItemSource {
+ public:
+  RelayedSource(RelaySettings settings, ItemSource& store, PeerClient& peers,
+                ViewStatusClient& statuses, UpstreamSelector& upstreams, Scheduler& scheduler);
+
+  /** Without a host the store is always watched. */
+  void setHost(RelayHost* host) { host_ = host; }
+
+  void readPage(const PageRequest& request, PageCallback callback) override;
+  void watch(const WatchRequest& request, WatchCallback callback) override;
+
+  const RelayCounters& counters() const { return counters_; }
+
+ private:
+  void watchStore(const WatchRequest& request, WatchCallback callback);
+  void askUpstream(Endpoint upstream, const WatchRequest& request, WatchCallback callback);
+  void onStatus(Endpoint upstream, const WatchRequest& request,
+                const Result<ViewStatus, SourceError>& status, WatchCallback callback);
+  void readUpstream(Endpoint upstream, const WatchRequest& request, WatchCallback callback);
+  void leave(Endpoint upstream, std::string_view cause);
+  void follow(Endpoint upstream);
+
+  const RelaySettings settings_;
+  ItemSource& store_;
+  PeerClient& peers_;
+  ViewStatusClient& statuses_;
+  UpstreamSelector& upstreams_;
+  Scheduler& scheduler_;
+  RelayHost* host_ = nullptr;
+  /** The store has answered a watch since the last full read. */
+  bool caught_up_ = false;
+  std::optional<Endpoint> following_;
+  RelayCounters counters_;
+};
+
+}  // namespace lugfork
--- a/src/discovery/view_follower.h
+++ b/src/discovery/view_follower.h
@@ -11,7 +11,7 @@
 /** Tunables of a ViewFollower. */
 struct ViewFollowerSettings {
   /** Longest time for which a watch is held open without a change. */
-  Duration watch_wait = seconds(3);
+  Duration watch_wait = seconds(1);
   /** Pause before the next watch after an answer with changes, so that a burst needs few calls. */
   Duration watch_pause = milliseconds(400);
   /** Pause after a failed call: doubles from the first to the longest, half of it random. */
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -5,10 +5,12 @@
 
 #include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <cctype>
 #include <sstream>
+#include <thread>
 
 namespace lugfork {
 
@@ -153,6 +155,33 @@
   }
 }
 
+/**
+ * Connects to a server again and again while it closes: CivetWeb's accept loop looks at its stop
+ * flag at each connection, and else only every two seconds.
+ */
+class AcceptWaker {
+ public:
+  explicit AcceptWaker(Endpoint server)
+      : thread_([server](const std::stop_token& stop) {
+          do {
+            connectOnce(server);
+            std::this_thread::sleep_for(kWakeInterval);
+          } while (!stop.stop_requested());
+        }) {}
+
+ private:
+  static constexpr std::chrono::milliseconds kWakeInterval{20};
+
+  static void connectOnce(Endpoint server) {
+    boost::asio::io_context io_context;
+    boost::asio::ip::tcp::socket socket(io_context);
+    boost::system::error_code refused_once_closed;
+    socket.connect({boost::asio::ip::address_v4(server.address), server.port}, refused_once_closed);
+  }
+
+  std::jthread thread_;
+};
+
 }  // namespace
 
 HttpServer::HttpServer(Endpoint address, Handler handler, HttpServerSecurity security,
@@ -182,6 +211,7 @@
 }
 
 HttpServer::~HttpServer() {
+  const AcceptWaker waker(localAddress());
   server_->close();
 }
 
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -44,8 +44,9 @@
                      scheduler_, *random_),
       source_(settings_.failover, platform.source, peer_client_, directory_, scheduler_,
               time_source_),
-      node_(settings_.node, platform.layout, source_, *this, scheduler_, time_source_, *random_,
-            log_),
+      upstreams_(settings_.upstream, settings_.control_address, directory_),
+      node_(settings_.node, platform.layout, makeNodeSource(), *this, scheduler_, time_source_,
+            *random_, log_),
       peer_handler_(node_.follower(), directory_),
       socket_(
           io_context, settings_.packet_address,
@@ -65,6 +66,19 @@
   startServers();
 }
 
+ItemSource& PacketDaemon::makeNodeSource() {
+  if (!settings_.status_address.isSet()) {
+    return source_;
+  }
+  status_client_ = std::make_unique<UdpStatusClient>(
+      io_context_, settings_.status_address, deriveStatusKey(settings_.node.token_key),
+      settings_.status_client, [this] { return viewStatus(); }, scheduler_, *random_);
+  relayed_source_ = std::make_unique<RelayedSource>(settings_.relay, source_, peer_client_,
+                                                    *status_client_, upstreams_, scheduler_);
+  relayed_source_->setHost(this);
+  return *relayed_source_;
+}
+
 void PacketDaemon::startServers() {
   ready_server_ = std::make_unique<HttpServer>(
       settings_.ready_address,
@@ -187,6 +201,25 @@
              {{"revision", node_.follower().revision()}});
 }
 
+void PacketDaemon::onUpstreamFollowed(Endpoint upstream) {
+  log_.write(LogLevel::Info, "discovery", "upstream_followed",
+             {{"upstream", toString(upstream)}, {"revision", node_.follower().revision()}});
+}
+
+void PacketDaemon::onUpstreamLeft(Endpoint upstream, std::string_view cause) {
+  log_.write(LogLevel::Info, "discovery", "upstream_left",
+             {{"upstream", toString(upstream)},
+              {"cause", std::string(cause)},
+              {"revision", node_.follower().revision()},
+              {"age_ms", toMilliseconds(node_.follower().age())}});
+}
+
+ViewStatus PacketDaemon::viewStatus() const {
+  const ViewFollower& follower = node_.follower();
+  return {follower.view().position(), toWireMilliseconds(follower.age()),
+          follower.isComplete() && !node_.isLeaving()};
+}
+
 HttpResponse PacketDaemon::onReadyRequest(const HttpRequest& request) const {
   if (request.path != settings_.ready_path) {
     return problemResponse(kHttpNotFound, "no such resource");
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -10,12 +10,14 @@
 #include "common/bounded_event_log.h"
 #include "discovery/failover_source.h"
 #include "discovery/peer_exchange.h"
+#include "discovery/relayed_source.h"
 #include "runtime/asio_scheduler.h"
 #include "runtime/http_server.h"
 #include "runtime/leave_timer.h"
 #include "runtime/packet_metrics.h"
 #include "runtime/peer_http.h"
 #include "runtime/udp_endpoint.h"
+#include "runtime/udp_status_client.h"
 
 namespace lugfork {
 
@@ -36,6 +38,11 @@
   PeerDirectorySettings peers;
   PeerExchangeSettings peer_exchange;
   FailoverSettings failover;
+  /** Where balancers ask each other how new their views are (UDP); unset to follow no other. */
+  Endpoint status_address;
+  StatusClientSettings status_client;
+  UpstreamSettings upstream;
+  RelaySettings relay;
   LeaveSettings leave;
   LogLimits log_limits;
 };
@@ -48,7 +55,7 @@
 };
 
 /** Runs one PacketNode on real sockets and clocks. */
-class PacketDaemon : private PacketSender, private FailoverHost {
+class PacketDaemon : private PacketSender, private FailoverHost, private RelayHost {
  public:
   /** @param reload called on SIGHUP; returns an empty text, or why the settings were not taken. */
   PacketDaemon(boost::asio::io_context& io_context, HttpGetClient& http_client,
@@ -66,6 +73,15 @@
   void onPeerFollowed(Endpoint peer, SourceError cause) override;
   void onStoreFollowed() override;
 
+  // RelayHost
+  bool storeAnswers() const override { return source_.storeAnswers(); }
+  void onUpstreamFollowed(Endpoint upstream) override;
+  void onUpstreamLeft(Endpoint upstream, std::string_view cause) override;
+
+  /** Makes what is needed to follow other balancers. @return where the node reads the view. */
+  ItemSource& makeNodeSource();
+  /** @return what other balancers are told of this one's view. */
+  ViewStatus viewStatus() const;
   void onDatagram(std::span<const std::uint8_t> bytes, Endpoint from);
   void awaitSignal();
   void onSignal(int signal);
@@ -90,6 +106,10 @@
   HttpPeerClient peer_client_;
   PeerExchange peer_exchange_;
   FailoverSource source_;
+  UpstreamSelector upstreams_;
+  /** Both are unset where this balancer follows no other. */
+  std::unique_ptr<UdpStatusClient> status_client_;
+  std::unique_ptr<RelayedSource> relayed_source_;
   PacketNode node_;
   PeerRequestHandler peer_handler_;
   UdpEndpoint socket_;
--- a/tests/discovery/failover_source_test.cc
+++ b/tests/discovery/failover_source_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "discovery/discovery_fixture.h"
+#include "discovery/fake_peers.h"
 
 namespace lugfork {
 namespace {
@@ -11,26 +12,6 @@
 const Endpoint kOwn{1, 1};
 const Endpoint kPeer{2, 1};
 
-/** Answers every call with what the test set, or not at all. */
-struct FakePeers : PeerClient {
-  void readPage(Endpoint, const PageRequest&, ItemSource::PageCallback callback) override {
-    ++calls;
-    callback(alive ? Result<ItemPage, SourceError>(page) : SourceError::NoAnswer);
-  }
-  void readChanges(Endpoint, const WatchRequest&, ItemSource::WatchCallback callback) override {
-    ++calls;
-    callback(alive ? Result<ItemChanges, SourceError>(changes) : SourceError::NoAnswer);
-  }
-  void exchangePeers(Endpoint, Endpoint, PeersCallback callback) override {
-    callback(std::vector<Endpoint>());
-  }
-
-  bool alive = true;
-  int calls = 0;
-  ItemPage page;
-  ItemChanges changes;
-};
-
 struct FailoverHarness : FailoverHost {
   FailoverHarness() {
     source.setHost(this);
--- /dev/null
+++ b/tests/discovery/relayed_source_test.cc
@@ -0,0 +1,152 @@
+#include "discovery/relayed_source.h"
+
+#include <catch2/catch.hpp>
+
+#include "discovery/discovery_fixture.h"
+#include "discovery/fake_peers.h"
+
+namespace lugfork {
+namespace {
+
+const std::string kPrefix;
+
+/** Answers with what the test set. */
+struct FakeStatuses : ViewStatusClient {
+  void askStatus(Endpoint peer, StatusCallback callback) override {
+    asked.push_back(peer);
+    callback(answer);
+  }
+
+  Result<ViewStatus, SourceError> answer = ViewStatus{5, 100, true};
+  std::vector<Endpoint> asked;
+};
+
+struct RelayHarness : RelayHost {
+  RelayHarness() {
+    source.setHost(this);
+    directory.onAlive(upstream());
+  }
+
+  bool storeAnswers() const override { return store_answers; }
+  void onUpstreamFollowed(Endpoint) override { ++followed; }
+  void onUpstreamLeft(Endpoint, std::string_view cause) override { left.emplace_back(cause); }
+
+  /** Of two addresses the one with the lower rank is the upstream. */
+  static Endpoint upstream() {
+    return peerRank({1, 1}) < peerRank({2, 1}) ? Endpoint{1, 1} : Endpoint{2, 1};
+  }
+  static Endpoint own() { return upstream() == Endpoint{1, 1} ? Endpoint{2, 1} : Endpoint{1, 1}; }
+
+  void watch() {
+    answer.reset();
+    source.watch({kPrefix, 5, seconds(1)},
+                 [this](Result<ItemChanges, SourceError> result) { answer = std::move(result); });
+  }
+
+  /** The first watch after a full read shows that the store is caught up with. */
+  void catchUp() {
+    watch();
+    store.answerWatch(kPrefix, ItemChanges{{}, 5});
+  }
+
+  void watchUpstream() {
+    watch();
+    scheduler.advance(settings.interval);
+  }
+
+  ManualTimeSource time;
+  ManualScheduler scheduler{time};
+  ManualSource store;
+  FakePeers peers;
+  FakeStatuses statuses;
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
+  PeerDirectory directory{{}, own(), {}, time, *random};
+  UpstreamSelector selector{{}, own(), directory};
+  RelaySettings settings;
+  RelayedSource source{settings, store, peers, statuses, selector, scheduler};
+  std::optional<Result<ItemChanges, SourceError>> answer;
+  bool store_answers = true;
+  int followed = 0;
+  std::vector<std::string> left;
+};
+
+TEST_CASE("the store is watched until it is caught up with, then an upstream is asked",
+          "[relayed_source]") {
+  RelayHarness harness;
+  harness.catchUp();
+  CHECK(harness.statuses.asked.empty());
+  const std::size_t store_calls = harness.store.watch_requests.size();
+  harness.watchUpstream();
+  CHECK(harness.statuses.asked == std::vector<Endpoint>{RelayHarness::upstream()});
+  REQUIRE(harness.answer.has_value());
+  CHECK(harness.answer->value().changes.empty());
+  CHECK(harness.answer->value().age_ms == 100);
+  CHECK(harness.store.watch_requests.size() == store_calls);
+  CHECK(harness.peers.calls == 0);
+  CHECK(harness.followed == 1);
+}
+
+TEST_CASE("changes are read from the upstream", "[relayed_source]") {
+  RelayHarness harness;
+  harness.catchUp();
+  harness.statuses.answer = ViewStatus{9, 10, true};
+  harness.peers.changes = {{written("a", 9)}, 9, 10};
+  harness.watchUpstream();
+  REQUIRE(harness.answer.has_value());
+  CHECK(harness.answer->value().at == 9);
+  CHECK(harness.answer->value().changes.size() == 1);
+}
+
+TEST_CASE("an upstream that is no help sends the same watch to the store at once",
+          "[relayed_source]") {
+  RelayHarness harness;
+  harness.catchUp();
+  harness.watchUpstream();
+  const std::size_t store_calls = harness.store.watch_requests.size();
+  SECTION("silent") {
+    harness.statuses.answer = SourceError::NoAnswer;
+  }
+  SECTION("old view") {
+    harness.statuses.answer = ViewStatus{5, 1900, true};
+  }
+  SECTION("no view, or about to stop") {
+    harness.statuses.answer = ViewStatus{5, 0, false};
+  }
+  harness.watchUpstream();
+  CHECK_FALSE(harness.answer.has_value());
+  CHECK(harness.store.watch_requests.size() == store_calls + 1);
+  CHECK(harness.store.watch_requests.back().after == 5);
+  CHECK(harness.left.size() == 1);
+  CHECK_FALSE(harness.selector.choose().has_value());
+}
+
+TEST_CASE("an upstream that began later than this view is caught up with at the store",
+          "[relayed_source]") {
+  RelayHarness harness;
+  harness.catchUp();
+  harness.statuses.answer = ViewStatus{9, 10, true};
+  harness.peers.error = SourceError::HistoryGone;
+  harness.watchUpstream();
+  CHECK_FALSE(harness.answer.has_value());
+  CHECK(harness.store.hasWatch(kPrefix));
+  CHECK(harness.selector.choose() == RelayHarness::upstream());
+}
+
+TEST_CASE("nobody is followed while the store does not answer or after a full read",
+          "[relayed_source]") {
+  RelayHarness harness;
+  harness.catchUp();
+  SECTION("the store does not answer") {
+    harness.store_answers = false;
+  }
+  SECTION("a full read has begun") {
+    harness.source.readPage({kPrefix, "", ReadConsistency::Latest},
+                            [](const Result<ItemPage, SourceError>&) {});
+  }
+  harness.watch();
+  CHECK(harness.store.hasWatch(kPrefix));
+  CHECK(harness.statuses.asked.empty());
+}
+
+}  // namespace
+}  // namespace lugfork
--- /dev/null
+++ b/tests/discovery/upstream_selector_test.cc
@@ -0,0 +1,118 @@
+#include "discovery/upstream_selector.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "flow/router_harness.h"
+
+namespace lugfork {
+namespace {
+
+constexpr std::uint32_t kFleetSize = 40;
+constexpr std::size_t kBalancersPerWatcher = 8;
+
+std::vector<Endpoint> fleet(std::uint32_t size = kFleetSize) {
+  std::vector<Endpoint> balancers;
+  for (std::uint32_t address = 1; address <= size; ++address) {
+    balancers.push_back({address, 1});
+  }
+  return balancers;
+}
+
+/** One balancer's knowledge of others. */
+struct Balancer {
+  Balancer(Endpoint own_address, const std::vector<Endpoint>& known, ManualTimeSource& time,
+           PeerDirectorySettings settings = {})
+      : directory(settings, own_address, {}, time, *random), own(own_address) {
+    directory.onTold(known);
+  }
+
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
+  PeerDirectory directory;
+  Endpoint own;
+  UpstreamSelector selector{{kBalancersPerWatcher}, own, directory};
+};
+
+TEST_CASE("a few balancers watch the store and all others follow one of them", "[upstream]") {
+  ManualTimeSource time;
+  std::vector<Endpoint> watchers;
+  std::vector<Endpoint> upstreams;
+  for (const Endpoint& own : fleet()) {
+    Balancer balancer(own, fleet(), time);
+    if (const auto upstream = balancer.selector.choose()) {
+      upstreams.push_back(*upstream);
+    } else {
+      watchers.push_back(own);
+    }
+  }
+  CHECK(watchers.size() == kFleetSize / kBalancersPerWatcher);
+  for (const Endpoint& upstream : upstreams) {
+    CHECK(std::count(watchers.begin(), watchers.end(), upstream) == 1);
+  }
+}
+
+TEST_CASE("whatever each knows, nobody follows a higher rank", "[upstream]") {
+  ManualTimeSource time;
+  const auto random = makeSeededRandom(3);
+  for (const Endpoint& own : fleet()) {
+    std::vector<Endpoint> known;
+    for (const Endpoint& peer : fleet()) {
+      if (random->below(3) == 0) {
+        known.push_back(peer);
+      }
+    }
+    Balancer balancer(own, known, time);
+    if (const auto upstream = balancer.selector.choose()) {
+      CHECK(peerRank(*upstream) < peerRank(own));
+    }
+  }
+}
+
+TEST_CASE("an upstream that failed is not chosen for a while, also where others tell of it",
+          "[upstream]") {
+  ManualTimeSource time;
+  std::vector<Endpoint> all = fleet(4);
+  std::sort(all.begin(), all.end(),
+            [](Endpoint left, Endpoint right) { return peerRank(left) < peerRank(right); });
+  Balancer balancer(all[2], all, time);
+  REQUIRE(balancer.selector.choose() == all[0]);
+  balancer.selector.onFailed(all[0]);
+  balancer.directory.onTold(all);
+  CHECK(balancer.selector.choose() == all[1]);
+
+  SECTION("with no lower rank left the store is watched") {
+    balancer.selector.onFailed(all[1]);
+    CHECK_FALSE(balancer.selector.choose().has_value());
+  }
+  SECTION("it is back when it shows itself") {
+    balancer.directory.onAlive(all[0]);
+    CHECK(balancer.selector.choose() == all[0]);
+  }
+  SECTION("it is back after the quarantine") {
+    time.elapsed += seconds(31);
+    balancer.directory.onTold(all);
+    CHECK(balancer.selector.choose() == all[0]);
+  }
+}
+
+TEST_CASE("a full directory keeps the lowest ranks and tells the fleet's size by them",
+          "[upstream]") {
+  ManualTimeSource time;
+  constexpr std::uint32_t kLargeFleet = 2700;
+  Balancer balancer({5000, 1}, fleet(kLargeFleet), time);
+  CHECK(balancer.directory.recent().size() == PeerDirectorySettings().size);
+  CHECK(balancer.directory.fleetSize() == Approx(kLargeFleet).epsilon(0.2));
+  std::vector<Endpoint> all = fleet(kLargeFleet);
+  std::sort(all.begin(), all.end(),
+            [](Endpoint left, Endpoint right) { return peerRank(left) < peerRank(right); });
+  CHECK(balancer.directory.ranked().front() == all.front());
+}
+
+TEST_CASE("a balancer that others can't ask follows nobody", "[upstream]") {
+  ManualTimeSource time;
+  Balancer balancer(Endpoint(), fleet(), time);
+  CHECK_FALSE(balancer.selector.choose().has_value());
+}
+
+}  // namespace
+}  // namespace lugfork
