--- a/src/discovery/view_follower.cc
+++ b/src/discovery/view_follower.cc
@@ -29,7 +29,7 @@
 }
 
 bool ViewFollower::isFresh() const {
-  return complete_ && age() <= settings_.watch_wait + settings_.fresh_for;
+  return caught_up_ && age() <= settings_.watch_wait + settings_.fresh_for;
 }
 
 void ViewFollower::startFullRead(ReadConsistency consistency) {
@@ -62,6 +62,12 @@
   }
   tell(view_.finishFullRead());
   watch_after_ = view_.fullReadRevision();
+  view_.setPosition(watch_after_);
+  if (!complete_) {
+    // A lagging replica may have answered, but to serve by what it knows is better than to wait.
+    complete_ = true;
+    host_.onComplete();
+  }
   startWatch(kCatchUpWait);
 }
 
@@ -79,7 +85,7 @@
   }
   if (!answer) {
     onError(answer.error());
-    retry([this] { startWatch(complete_ ? settings_.watch_wait : kCatchUpWait); });
+    retry([this] { startWatch(caught_up_ ? settings_.watch_wait : kCatchUpWait); });
     return;
   }
   const ItemChanges& changes = answer.value();
@@ -93,10 +99,7 @@
     }
   }
   tell(news);
-  if (!complete_) {
-    complete_ = true;
-    host_.onComplete();
-  }
+  caught_up_ = true;
   const Duration pause = changes.changes.empty() ? Duration::zero() : settings_.watch_pause;
   scheduler_.callAfter(pause, [this] { startWatch(settings_.watch_wait); });
 }
--- a/src/discovery/view_follower.h
+++ b/src/discovery/view_follower.h
@@ -31,7 +31,7 @@
   /** Items that are newer than what was known, in the order in which they were told. */
   virtual void onItems(const std::vector<ItemChange>& changes) = 0;
 
-  /** The view has become complete: a full read was done and a watch has shown what came since. */
+  /** The view has become complete: the first full read is done. */
   virtual void onComplete() = 0;
 
   /** A call failed; the first of a row of failures, or another cause than before. */
@@ -63,7 +63,16 @@
 
   bool isComplete() const { return complete_; }
 
-  /** @return true if the source has answered lately enough that the view is the newest. */
+  /**
+   * @return true once a watch has shown what came since the first full read, which a lagging
+   * replica may have answered; only then others may be told of this view.
+   */
+  bool isCaughtUp() const { return caught_up_; }
+
+  /**
+   * @return true if the source has answered lately enough that the view is the newest; false until
+   * it is caught up.
+   */
   bool isFresh() const;
 
   /** @return time since the platform told the newest of what is known. */
@@ -101,6 +110,8 @@
   MonotonicTime failing_since_;
   MonotonicTime answered_at_;
   bool complete_ = false;
+  /** A watch has been answered since the view became complete. */
+  bool caught_up_ = false;
   ViewFollowerCounters counters_;
 };
 
--- a/src/runtime/http_call_result.cc
+++ b/src/runtime/http_call_result.cc
@@ -12,13 +12,13 @@
 
 }  // namespace
 
-Result<std::string, SourceError> bodyOf(const Result<HttpGetReply, HttpGetError>& reply) {
+Result<std::string, SourceError> bodyOf(Result<HttpGetReply, HttpGetError> reply) {
   if (!reply) {
     return reply.error() == HttpGetError::NoAnswer ? SourceError::NoAnswer : SourceError::Malformed;
   }
   switch (reply.value().status) {
     case kStatusOk:
-      return reply.value().body;
+      return std::move(reply.value().body);
     case kStatusNotFound:
       return SourceError::NotFound;
     case kStatusGone:
--- a/src/runtime/http_call_result.h
+++ b/src/runtime/http_call_result.h
@@ -8,6 +8,6 @@
 namespace lugfork {
 
 /** Turns the outcome of a GET into the errors of item sources. @return the body of a 200. */
-Result<std::string, SourceError> bodyOf(const Result<HttpGetReply, HttpGetError>& reply);
+Result<std::string, SourceError> bodyOf(Result<HttpGetReply, HttpGetError> reply);
 
 }  // namespace lugfork
--- a/src/runtime/http_get_client.cc
+++ b/src/runtime/http_get_client.cc
@@ -112,6 +112,8 @@
 
   void finish(Result<HttpGetReply, HttpGetError> result, bool reusable) {
     stream_.expires_never();
+    // One large answer does not keep its memory for the life of the connection.
+    buffer_.shrink_to_fit();
     if (!reusable) {
       beast::error_code ignored;
       stream_.socket().close(ignored);
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -217,7 +217,7 @@
 ViewStatus PacketDaemon::viewStatus() const {
   const ViewFollower& follower = node_.follower();
   return {follower.view().position(), toWireMilliseconds(follower.age()),
-          follower.isComplete() && !node_.isLeaving()};
+          follower.isCaughtUp() && !node_.isLeaving()};
 }
 
 HttpResponse PacketDaemon::onReadyRequest(const HttpRequest& request) const {
--- a/src/runtime/peer_http.cc
+++ b/src/runtime/peer_http.cc
@@ -110,7 +110,7 @@
   if (request.path != kItemsPath && request.path != kChangesPath) {
     return problemResponse(kHttpNotFound, "no such resource");
   }
-  if (!follower_.isComplete()) {
+  if (!follower_.isCaughtUp()) {
     return problemResponse(kHttpUnavailable, "the view is not complete");
   }
   return request.path == kItemsPath ? page(request) : changes(request);
--- a/src/runtime/program.cc
+++ b/src/runtime/program.cc
@@ -1,5 +1,6 @@
 #include "runtime/program.h"
 
+#include <malloc.h>
 #include <sodium.h>
 
 #include <iostream>
@@ -52,6 +53,12 @@
       ->default_str(std::to_string(default_ms));
 }
 
+void returnFreedMemory() {
+  constexpr int kThresholdBytes = 64 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kThresholdBytes);
+  mallopt(M_TRIM_THRESHOLD, kThresholdBytes);
+}
+
 int runProgram(CLI::App& app, int argc, char** argv, const std::function<int()>& body) {
   if (sodium_init() < 0) {
     std::cerr << "libsodium can't be initialized\n";
--- a/src/runtime/program.h
+++ b/src/runtime/program.h
@@ -42,6 +42,12 @@
   return result.get();
 }
 
+/**
+ * Makes the C library give memory back to the system soon after it was freed, for daemons that read
+ * a large document now and then.
+ */
+void returnFreedMemory();
+
 /**
  * Parses the command line and the settings file, then runs the program.
  * @return the exit code; errors go to standard error.
--- a/src/runtime/udp_endpoint.cc
+++ b/src/runtime/udp_endpoint.cc
@@ -10,6 +10,7 @@
 
 using boost::asio::ip::udp;
 
+constexpr std::size_t kLargestDatagram = 65536;
 constexpr int kSocketBufferBytes = 4 * 1024 * 1024;
 
 udp::endpoint toAsio(Endpoint endpoint) {
@@ -24,7 +25,9 @@
 
 UdpEndpoint::UdpEndpoint(boost::asio::io_context& io_context, Endpoint address, Handler handler,
                          Receiving receiving)
-    : socket_(io_context, udp::v4()), handler_(std::move(handler)) {
+    : socket_(io_context, udp::v4()),
+      handler_(std::move(handler)),
+      buffer_(std::make_unique_for_overwrite<std::uint8_t[]>(kLargestDatagram)) {
   socket_.bind(toAsio(address));
   socket_.non_blocking(true);
   boost::system::error_code ignored;
@@ -50,13 +53,13 @@
 }
 
 void UdpEndpoint::receiveNext() {
-  socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
+  socket_.async_receive_from(boost::asio::buffer(buffer_.get(), kLargestDatagram), sender_,
                              [this](const boost::system::error_code& error, std::size_t size) {
                                if (error == boost::asio::error::operation_aborted) {
                                  return;
                                }
                                if (!error) {
-                                 handler_(std::span(buffer_.data(), size), fromAsio(sender_));
+                                 handler_(std::span(buffer_.get(), size), fromAsio(sender_));
                                }
                                receiveNext();
                              });
--- a/src/runtime/udp_endpoint.h
+++ b/src/runtime/udp_endpoint.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <memory>
 #include <span>
 
 #include "flow/flow_router.h"
@@ -40,7 +40,8 @@
   boost::asio::ip::udp::socket socket_;
   Handler handler_;
   boost::asio::ip::udp::endpoint sender_;
-  std::array<std::uint8_t, 65536> buffer_{};
+  /** Not cleared: memory that no datagram fills is never used. */
+  const std::unique_ptr<std::uint8_t[]> buffer_;
 };
 
 }  // namespace lugfork
