--- a/bench/placement_comparison.cc
+++ b/bench/placement_comparison.cc
@@ -224,7 +224,7 @@
     const Service& service = *view_->service(kService);
     BackendId refused_by;
     for (int attempt = 0; attempt < 2; ++attempt) {
-      const auto placed = balancer.engine.place(service, key.flow, refused_by);
+      const auto placed = balancer.engine.place(service, key.flow, FlowVolume::Small, refused_by);
       if (!placed) {
         break;
       }
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -86,6 +86,8 @@
 struct Route {
   Endpoint address;
   std::vector<RouteTarget> targets;
+  /** Callers send large requests: what crosses zones is dear. */
+  bool bulk = false;
   bool operator==(const Route&) const = default;
 
   /** @return the service of a flow, the same on every balancer; nothing without any weight. */
--- a/src/discovery/backend_registry.cc
+++ b/src/discovery/backend_registry.cc
@@ -161,6 +161,7 @@
 Route BackendRegistry::makeRoute(const RouteRecord& record) {
   Route route;
   route.address = record.address;
+  route.bulk = record.bulk;
   for (const RouteShare& share : record.shares) {
     route.targets.push_back({serviceIdOf(share.service), share.weight});
   }
--- a/src/discovery/platform_records.h
+++ b/src/discovery/platform_records.h
@@ -37,6 +37,8 @@
 
 struct RouteRecord {
   Endpoint address;
+  /** Callers send large requests. */
+  bool bulk = false;
   std::vector<RouteShare> shares;
 };
 
--- a/src/flow/flow_decider.cc
+++ b/src/flow/flow_decider.cc
@@ -37,7 +37,8 @@
   if (service == nullptr) {
     return PlacementRefusal{Reason::NoBackendInAllowedZones, settings_.retry_after};
   }
-  const auto placed = placement_.place(*service, opening.flow, opening.excluded);
+  const FlowVolume volume = route->bulk ? FlowVolume::Bulk : FlowVolume::Small;
+  const auto placed = placement_.place(*service, opening.flow, volume, opening.excluded);
   if (!placed) {
     return placed.error();
   }
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -164,7 +164,8 @@
     ++counters_.replacements_over_budget;
     return {};
   }
-  const auto placed = placement_.place(service, refusal.key.flow, refusal.backend);
+  const auto placed =
+      placement_.place(service, refusal.key.flow, FlowVolume::Small, refusal.backend);
   if (!placed) {
     return {};
   }
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -54,15 +54,16 @@
 
 Result<const Backend*, PlacementRefusal> PlacementEngine::place(const Service& service,
                                                                 const FlowId& flow,
+                                                                FlowVolume volume,
                                                                 BackendId excluded) {
   CandidateList& list = candidatesOf(service);
-  const Backend* chosen = choose(list, flow);
+  const Backend* chosen = choose(list, flow, volume);
   if (chosen != nullptr && chosen->id == excluded) {
     std::vector<const Backend*>& backends = list.backends;
     std::iter_swap(std::find(backends.begin(), backends.end(), chosen), backends.end() - 1);
     backends.pop_back();
     const Backend* refused_before = chosen;
-    chosen = choose(list, flow);
+    chosen = choose(list, flow, volume);
     backends.push_back(refused_before);
   }
   if (chosen == nullptr) {
@@ -83,10 +84,12 @@
   outliers_.onFailure(backend, attempt, candidatesOf(*service).size_when_made);
 }
 
-const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow) {
+const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow, FlowVolume volume) {
+  const double local_weight =
+      volume == FlowVolume::Bulk ? settings_.bulk_local_weight : settings_.local_weight;
   std::vector<const Backend*>& backends = list.backends;
   while (!backends.empty()) {
-    const LoadedCandidates candidates(backends, loads_, local_zone_, settings_.local_weight);
+    const LoadedCandidates candidates(backends, loads_, local_zone_, local_weight);
     const std::size_t index = policy_->choose(candidates, flow, random_);
     const Backend* chosen = backends[index];
     if (fits(*chosen, list)) {
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -18,6 +18,9 @@
   Duration retry_after{};
 };
 
+/** How much the caller of a flow is going to send. */
+enum class FlowVolume { Small, Bulk };
+
 /** Tunables of the placement of new flows. */
 struct PlacementSettings {
   /** Longest time for which a list of candidates is used before it is made again. */
@@ -38,6 +41,8 @@
   std::string local_zone;
   /** Weight of a back end in the local zone, as a multiple of that of others. */
   double local_weight = 1;
+  /** The same for flows of routes whose callers send large requests. */
+  double bulk_local_weight = 1;
 };
 
 /** What else a node has learnt of back ends. */
@@ -65,10 +70,12 @@
 
   /**
    * Places a flow and counts it to the back end's load.
+   * @param volume how much the caller is going to send.
    * @param excluded back end that just refused this flow; unset for none.
    * @return the back end, or why there is none and when to come back.
    */
   Result<const Backend*, PlacementRefusal> place(const Service& service, const FlowId& flow,
+                                                 FlowVolume volume = FlowVolume::Small,
                                                  BackendId excluded = BackendId());
 
   /**
@@ -110,7 +117,7 @@
   bool fits(const Backend& backend, const CandidateList& list) const;
 
   /** Chooses from the list and takes out what does not fit. @return nullptr if nothing is left. */
-  const Backend* choose(CandidateList& list, const FlowId& flow);
+  const Backend* choose(CandidateList& list, const FlowId& flow, FlowVolume volume);
   PlacementRefusal refusalFor(const Service& service, const CandidateList& list);
 
   const PlacementSettings settings_;
--- a/tests/flow/placement_engine_test.cc
+++ b/tests/flow/placement_engine_test.cc
@@ -275,27 +275,54 @@
   });
 }
 
-TEST_CASE("back ends in the local zone get the share that their weight gives", "[placement]") {
-  PlacementSettings settings;
-  settings.local_zone = "ariana";
-  settings.local_weight = 3;
-  PlacementHarness harness(0, "bounded_rendezvous", settings);
-  Configuration configuration = twoServices();
-  configuration.services[0].allowed_zones = {kLac, kAriana};
-  configuration.backends.clear();
-  for (std::uint32_t id = 1; id <= 20; ++id) {
-    configuration.backends.push_back(makeBackend(id, ServiceId(1), id % 2 == 0 ? kLac : kAriana));
+/** Ten back ends in each of two zones, one of them local. */
+struct TwoZoneHarness : PlacementHarness {
+  TwoZoneHarness() : PlacementHarness(0, "bounded_rendezvous", makeSettings()) {
+    Configuration configuration = twoServices();
+    configuration.services[0].allowed_zones = {kLac, kAriana};
+    configuration.backends.clear();
+    for (std::uint32_t id = 1; id <= 20; ++id) {
+      configuration.backends.push_back(makeBackend(id, ServiceId(1), id % 2 == 0 ? kLac : kAriana));
+    }
+    setConfiguration(configuration);
   }
-  harness.setConfiguration(configuration);
-  int local = 0;
-  for (int flow = 0; flow < 4000; ++flow) {
-    harness.time.elapsed += seconds(1);
-    local += harness.place().value()->zone == kAriana ? 1 : 0;
+
+  static PlacementSettings makeSettings() {
+    PlacementSettings settings;
+    settings.local_zone = "ariana";
+    settings.local_weight = 3;
+    settings.bulk_local_weight = 9;
+    return settings;
   }
+
+  /** @return how many of 4,000 flows with that pause between them are placed in the local zone. */
+  int placeLocally(FlowVolume volume, Duration pause = seconds(1)) {
+    int local = 0;
+    for (int flow = 0; flow < 4000; ++flow) {
+      time.elapsed += pause;
+      const auto placed = engine.place(service(), FlowId{1, ++flows}, volume);
+      local += placed.value()->zone == kAriana ? 1 : 0;
+    }
+    return local;
+  }
+};
+
+TEST_CASE("back ends in the local zone get the share that their weight gives", "[placement]") {
+  TwoZoneHarness harness;
+  const int local = harness.placeLocally(FlowVolume::Small);
   // Three quarters, but for the back end that got the last flow and is passed over.
   CHECK(local > 2700);
   CHECK(local < 3200);
 }
 
+TEST_CASE("flows of large requests have a weight of their own, and load goes before it",
+          "[placement]") {
+  TwoZoneHarness harness;
+  // Nine tenths, but for the back end that got the last flow.
+  CHECK(harness.placeLocally(FlowVolume::Bulk) > 3400);
+  // All at once: no back end gets more than 1.25 times the mean, the local half no more than 5/8.
+  CHECK(harness.placeLocally(FlowVolume::Bulk, Duration::zero()) <= 2500);
+}
+
 }  // namespace
 }  // namespace lugfork
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -91,7 +91,8 @@
       "op/config",
       R"({"version":7,"routes":[{"name":"r-a","host":"198.18.0.1","path_prefix":"/8443/",)"
       R"("backends":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}]},)"
-      R"({"name":"r-b","host":"198.18.0.2","path_prefix":"/8080/","service":"wuno96b"}],)"
+      R"({"name":"r-b","host":"198.18.0.2","path_prefix":"/8080/","type":"upload",)"
+      R"("service":"wuno96b"}],)"
       R"("services":[],"limits":{"idle_timeout_ms":15000}})");
   REQUIRE(record);
   const auto& table = std::get<RouteTable>(record.value());
@@ -101,6 +102,8 @@
   REQUIRE(table.routes[0].shares.size() == 2);
   CHECK(table.routes[0].shares[0].weight == 90);
   CHECK(table.routes[1].shares[0].service == "wuno96b");
+  CHECK_FALSE(table.routes[0].bulk);
+  CHECK(table.routes[1].bulk);
 }
 
 TEST_CASE("a broken configuration is refused whole", "[store_codec]") {
