--- a/src/discovery/platform_records.h
+++ b/src/discovery/platform_records.h
@@ -37,9 +37,9 @@
 
 struct RouteRecord {
   Endpoint address;
+  std::vector<RouteShare> shares;
   /** Callers send large requests. */
   bool bulk = false;
-  std::vector<RouteShare> shares;
 };
 
 /** The operator's whole set of routes. */
