Send the news of a view in one datagram, one watcher in 32 balancers

Until the first exchange of peers (up to 5 s) every balancer watched the store.

Change: a question names the position of who asks; its answer brings the changes where they fit into 1,200 bytes. Up to 32 KB are read from the upstream over HTTP, more from the store. The first exchange comes within 1 s. One balancer in 32 watches, in place of one in 16.

--- a/src/discovery/peer_client.h
+++ b/src/discovery/peer_client.h
@@ -34,15 +34,27 @@
   auto fields() { return std::tie(position, age_ms, serves_view); }
 };
 
-/** Asks balancers how new their views are, for less than a call of PeerClient costs. */
-class ViewStatusClient {
+/** What another balancer's view holds beyond a revision. */
+struct ViewNews {
+  ViewStatus status;
+  /** The changes after that revision, unless they are withheld. */
+  std::vector<ItemChange> changes;
+  /** The changes do not fit into a datagram, or are not known. */
+  bool withheld = false;
+  /** Size of all of these changes [bytes]; the largest number where they are not known. */
+  std::uint32_t change_bytes = 0;
+  auto fields() { return std::tie(status, changes, withheld, change_bytes); }
+};
+
+/** Asks balancers what is new in their views, for less than a call of PeerClient costs. */
+class ViewNewsClient {
  public:
-  virtual ~ViewStatusClient() = default;
+  virtual ~ViewNewsClient() = default;
 
-  using StatusCallback = std::function<void(Result<ViewStatus, SourceError>)>;
+  using NewsCallback = std::function<void(Result<ViewNews, SourceError>)>;
 
   /** Calls back once, from the event loop and never at once. */
-  virtual void askStatus(Endpoint peer, StatusCallback callback) = 0;
+  virtual void askNews(Endpoint peer, Revision after, NewsCallback callback) = 0;
 };
 
 }  // namespace lugfork
--- a/src/discovery/peer_exchange.h
+++ b/src/discovery/peer_exchange.h
@@ -10,7 +10,7 @@
 struct PeerExchangeSettings {
   Duration interval = seconds(10);
   /** Longest random delay of the first exchange, so that a fleet does not ask its seeds at once. */
-  Duration first_delay = seconds(5);
+  Duration first_delay = seconds(1);
 };
 
 /** Keeps a PeerDirectory filled: asks one peer after the other, a seed while none is known. */
--- a/src/discovery/relayed_source.cc
+++ b/src/discovery/relayed_source.cc
@@ -1,16 +1,17 @@
 #include "discovery/relayed_source.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lugfork {
 
 RelayedSource::RelayedSource(RelaySettings settings, ItemSource& store, PeerClient& peers,
-                             ViewStatusClient& statuses, UpstreamSelector& upstreams,
+                             ViewNewsClient& news, UpstreamSelector& upstreams,
                              Scheduler& scheduler)
     : settings_(settings),
       store_(store),
       peers_(peers),
-      statuses_(statuses),
+      news_(news),
       upstreams_(upstreams),
       scheduler_(scheduler) {}
 
@@ -23,6 +24,9 @@
   const bool may_follow = caught_up_ && host_ != nullptr && host_->storeAnswers();
   const auto upstream = may_follow ? upstreams_.choose() : std::nullopt;
   if (!upstream) {
+    if (following_) {
+      leave(*following_, "watching the store");
+    }
     watchStore(request, std::move(callback));
     return;
   }
@@ -33,9 +37,6 @@
 }
 
 void RelayedSource::watchStore(const WatchRequest& request, WatchCallback callback) {
-  if (following_) {
-    leave(*following_, "watching the store");
-  }
   store_.watch(request, [this, callback = std::move(callback)](
                             const Result<ItemChanges, SourceError>& answer) {
     caught_up_ = caught_up_ || answer;
@@ -46,33 +47,47 @@
 void RelayedSource::askUpstream(Endpoint upstream, const WatchRequest& request,
                                 WatchCallback callback) {
   ++counters_.questions;
-  statuses_.askStatus(upstream, [this, upstream, request, callback = std::move(callback)](
-                                    const Result<ViewStatus, SourceError>& status) mutable {
-    onStatus(upstream, request, status, std::move(callback));
-  });
+  news_.askNews(upstream, request.after,
+                [this, upstream, request, callback = std::move(callback)](
+                    const Result<ViewNews, SourceError>& answer) mutable {
+                  onNews(upstream, request, answer, std::move(callback));
+                });
 }
 
-void RelayedSource::onStatus(Endpoint upstream, const WatchRequest& request,
-                             const Result<ViewStatus, SourceError>& status,
+void RelayedSource::onNews(Endpoint upstream, const WatchRequest& request,
+                           const Result<ViewNews, SourceError>& answer, WatchCallback callback) {
+  const bool is_new = answer && answer.value().status.serves_view &&
+                      milliseconds(answer.value().status.age_ms) <= settings_.max_age;
+  if (is_new) {
+    upstreams_.onAnswer(upstream);
+    follow(upstream);
+    takeNews(upstream, request, answer.value(), std::move(callback));
+    return;
+  }
+  ++counters_.failures;
+  upstreams_.onFailed(upstream);
+  if (!answer) {
+    leave(upstream, toString(answer.error()));
+  } else {
+    leave(upstream, answer.value().status.serves_view ? "view too old" : "view not served");
+  }
+  watchStore(request, std::move(callback));
+}
+
+void RelayedSource::takeNews(Endpoint upstream, const WatchRequest& request, const ViewNews& news,
                              WatchCallback callback) {
-  const bool is_new = status && status.value().serves_view &&
-                      milliseconds(status.value().age_ms) <= settings_.max_age;
-  if (!is_new) {
-    ++counters_.failures;
-    upstreams_.onFailed(upstream);
-    leave(upstream, !status                      ? toString(status.error())
-                    : status.value().serves_view ? "view too old"
-                                                 : "view not served");
-    watchStore(request, std::move(callback));
+  if (!news.withheld) {
+    counters_.answered += news.changes.empty() ? 0 : 1;
+    callback(ItemChanges{news.changes, std::max(news.status.position, request.after),
+                         news.status.age_ms});
     return;
   }
-  upstreams_.onAnswer(upstream);
-  follow(upstream);
-  if (status.value().position <= request.after) {
-    callback(ItemChanges{{}, request.after, status.value().age_ms});
+  if (news.change_bytes <= settings_.max_relayed_bytes) {
+    readUpstream(upstream, request, std::move(callback));
     return;
   }
-  readUpstream(upstream, request, std::move(callback));
+  ++counters_.too_large;
+  watchStore(request, std::move(callback));
 }
 
 void RelayedSource::readUpstream(Endpoint upstream, const WatchRequest& request,
--- a/src/discovery/relayed_source.h
+++ b/src/discovery/relayed_source.h
@@ -12,6 +12,8 @@
   Duration interval = milliseconds(400);
   /** Age of the upstream's view from which the store is asked instead. */
   Duration max_age = milliseconds(1800);
+  /** Changes larger than this are read from the store, to spare the upstream's link [bytes]. */
+  std::uint32_t max_relayed_bytes = 32 * 1024;
 };
 
 /** Told whom this balancer follows. */
@@ -29,8 +31,10 @@
 struct RelayCounters {
   std::uint64_t questions = 0;
   std::uint64_t failures = 0;
-  /** Changes that were read from an upstream. */
+  /** Changes that came with an answer, were read from an upstream, or were too large for it. */
+  std::uint64_t answered = 0;
   std::uint64_t reads = 0;
+  std::uint64_t too_large = 0;
 };
 
 /**
@@ -40,8 +44,8 @@
  */
 class RelayedSource : public ItemSource {
  public:
-  RelayedSource(RelaySettings settings, ItemSource& store, PeerClient& peers,
-                ViewStatusClient& statuses, UpstreamSelector& upstreams, Scheduler& scheduler);
+  RelayedSource(RelaySettings settings, ItemSource& store, PeerClient& peers, ViewNewsClient& news,
+                UpstreamSelector& upstreams, Scheduler& scheduler);
 
   /** Without a host the store is always watched. */
   void setHost(RelayHost* host) { host_ = host; }
@@ -54,8 +58,10 @@
  private:
   void watchStore(const WatchRequest& request, WatchCallback callback);
   void askUpstream(Endpoint upstream, const WatchRequest& request, WatchCallback callback);
-  void onStatus(Endpoint upstream, const WatchRequest& request,
-                const Result<ViewStatus, SourceError>& status, WatchCallback callback);
+  void onNews(Endpoint upstream, const WatchRequest& request,
+              const Result<ViewNews, SourceError>& answer, WatchCallback callback);
+  void takeNews(Endpoint upstream, const WatchRequest& request, const ViewNews& news,
+                WatchCallback callback);
   void readUpstream(Endpoint upstream, const WatchRequest& request, WatchCallback callback);
   void leave(Endpoint upstream, std::string_view cause);
   void follow(Endpoint upstream);
@@ -63,7 +69,7 @@
   const RelaySettings settings_;
   ItemSource& store_;
   PeerClient& peers_;
-  ViewStatusClient& statuses_;
+  ViewNewsClient& news_;
   UpstreamSelector& upstreams_;
   Scheduler& scheduler_;
   RelayHost* host_ = nullptr;
--- a/src/discovery/upstream_selector.h
+++ b/src/discovery/upstream_selector.h
@@ -9,7 +9,7 @@
 /** Tunables of an UpstreamSelector. */
 struct UpstreamSettings {
   /** Balancers for which one of them watches the store. */
-  std::size_t balancers_per_watcher = 16;
+  std::size_t balancers_per_watcher = 32;
 };
 
 /**
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <limits>
 
 #include "runtime/api_response.h"
 #include "runtime/program.h"
@@ -67,14 +68,15 @@
 }
 
 ItemSource& PacketDaemon::makeNodeSource() {
-  if (!settings_.status_address.isSet()) {
+  if (!settings_.news_address.isSet()) {
     return source_;
   }
-  status_client_ = std::make_unique<UdpStatusClient>(
-      io_context_, settings_.status_address, deriveStatusKey(settings_.node.token_key),
-      settings_.status_client, [this] { return viewStatus(); }, scheduler_, *random_);
+  news_client_ = std::make_unique<UdpNewsClient>(
+      io_context_, settings_.news_address, deriveNewsKey(settings_.node.token_key),
+      settings_.news_client, [this](Revision after) { return viewNews(after); }, scheduler_,
+      *random_);
   relayed_source_ = std::make_unique<RelayedSource>(settings_.relay, source_, peer_client_,
-                                                    *status_client_, upstreams_, scheduler_);
+                                                    *news_client_, upstreams_, scheduler_);
   relayed_source_->setHost(this);
   return *relayed_source_;
 }
@@ -214,10 +216,26 @@
               {"age_ms", toMilliseconds(node_.follower().age())}});
 }
 
-ViewStatus PacketDaemon::viewStatus() const {
+ViewNews PacketDaemon::viewNews(Revision after) const {
   const ViewFollower& follower = node_.follower();
-  return {follower.view().position(), toWireMilliseconds(follower.age()),
-          follower.isCaughtUp() && !node_.isLeaving()};
+  ViewNews news;
+  news.status = {follower.view().position(), toWireMilliseconds(follower.age()),
+                 follower.isCaughtUp() && !node_.isLeaving()};
+  if (news.status.position <= after) {
+    return news;
+  }
+  auto changes = follower.view().changesAfter(after);
+  if (!changes) {
+    news.withheld = true;
+    news.change_bytes = std::numeric_limits<std::uint32_t>::max();
+    return news;
+  }
+  news.change_bytes = encodedSize(changes->changes);
+  news.withheld = news.change_bytes > kMaxChangeBytes;
+  if (!news.withheld) {
+    news.changes = std::move(changes->changes);
+  }
+  return news;
 }
 
 HttpResponse PacketDaemon::onReadyRequest(const HttpRequest& request) const {
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -17,7 +17,7 @@
 #include "runtime/packet_metrics.h"
 #include "runtime/peer_http.h"
 #include "runtime/udp_endpoint.h"
-#include "runtime/udp_status_client.h"
+#include "runtime/udp_news_client.h"
 
 namespace lugfork {
 
@@ -38,9 +38,9 @@
   PeerDirectorySettings peers;
   PeerExchangeSettings peer_exchange;
   FailoverSettings failover;
-  /** Where balancers ask each other how new their views are (UDP); unset to follow no other. */
-  Endpoint status_address;
-  StatusClientSettings status_client;
+  /** Where balancers ask each other what is new in their views (UDP); unset to follow no other. */
+  Endpoint news_address;
+  NewsClientSettings news_client;
   UpstreamSettings upstream;
   RelaySettings relay;
   LeaveSettings leave;
@@ -81,7 +81,7 @@
   /** Makes what is needed to follow other balancers. @return where the node reads the view. */
   ItemSource& makeNodeSource();
   /** @return what other balancers are told of this one's view. */
-  ViewStatus viewStatus() const;
+  ViewNews viewNews(Revision after) const;
   void onDatagram(std::span<const std::uint8_t> bytes, Endpoint from);
   void awaitSignal();
   void onSignal(int signal);
@@ -108,7 +108,7 @@
   FailoverSource source_;
   UpstreamSelector upstreams_;
   /** Both are unset where this balancer follows no other. */
-  std::unique_ptr<UdpStatusClient> status_client_;
+  std::unique_ptr<UdpNewsClient> news_client_;
   std::unique_ptr<RelayedSource> relayed_source_;
   PacketNode node_;
   PeerRequestHandler peer_handler_;
--- a/src/wire/status_codec.cc
+++ b/src/wire/news_codec.cc
@@ -1,4 +1,4 @@
-#include "wire/status_codec.h"
+#include "wire/news_codec.h"
 
 #include <sodium.h>
 
@@ -8,14 +8,14 @@
 
 namespace {
 
-constexpr std::string_view kPurpose = "lugfork view status";
+constexpr std::string_view kPurpose = "lugfork view news";
 constexpr std::size_t kTagBytes = 16;
-/** No message is longer. */
-constexpr std::size_t kMaxBodyBytes = 64;
+/** No message is longer: changes and the fields around them. */
+constexpr std::size_t kMaxBodyBytes = kMaxChangeBytes + 100;
 
 using Tag = std::array<std::uint8_t, kTagBytes>;
 
-Tag tagOf(std::span<const std::uint8_t> body, const StatusKey& key) {
+Tag tagOf(std::span<const std::uint8_t> body, const NewsKey& key) {
   Tag tag{};
   crypto_generichash(tag.data(), tag.size(), body.data(), body.size(), key.data(), key.size());
   return tag;
@@ -23,23 +23,27 @@
 
 }  // namespace
 
-StatusKey deriveStatusKey(std::span<const std::uint8_t> fleet_secret) {
-  StatusKey key{};
+NewsKey deriveNewsKey(std::span<const std::uint8_t> fleet_secret) {
+  NewsKey key{};
   crypto_generichash(key.data(), key.size(),
                      reinterpret_cast<const unsigned char*>(kPurpose.data()), kPurpose.size(),
                      fleet_secret.data(), fleet_secret.size());
   return key;
 }
 
-Bytes encodeStatusMessage(const StatusMessage& message, const StatusKey& key) {
+std::uint32_t encodedSize(const std::vector<ItemChange>& changes) {
+  return static_cast<std::uint32_t>(message_codec::encodeStruct(changes).size());
+}
+
+Bytes encodeNewsMessage(const NewsMessage& message, const NewsKey& key) {
   Bytes datagram = message_codec::encodeVariant(message);
   const Tag tag = tagOf(datagram, key);
   datagram.insert(datagram.end(), tag.begin(), tag.end());
   return datagram;
 }
 
-Result<StatusMessage, CodecError> decodeStatusMessage(std::span<const std::uint8_t> datagram,
-                                                      const StatusKey& key) {
+Result<NewsMessage, CodecError> decodeNewsMessage(std::span<const std::uint8_t> datagram,
+                                                  const NewsKey& key) {
   if (datagram.size() <= kTagBytes) {
     return CodecError::Malformed;
   }
@@ -51,7 +55,7 @@
   if (sodium_memcmp(expected.data(), datagram.data() + body.size(), kTagBytes) != 0) {
     return CodecError::Malformed;
   }
-  return message_codec::decodeVariant<StatusMessage>(body.data(), body.size());
+  return message_codec::decodeVariant<NewsMessage>(body.data(), body.size());
 }
 
 }  // namespace lugfork
--- a/tests/discovery/relayed_source_test.cc
+++ b/tests/discovery/relayed_source_test.cc
@@ -11,13 +11,14 @@
 const std::string kPrefix;
 
 /** Answers with what the test set. */
-struct FakeStatuses : ViewStatusClient {
-  void askStatus(Endpoint peer, StatusCallback callback) override {
+struct FakeNews : ViewNewsClient {
+  void askNews(Endpoint peer, Revision after, NewsCallback callback) override {
+    CHECK(after == 5);
     asked.push_back(peer);
     callback(answer);
   }
 
-  Result<ViewStatus, SourceError> answer = ViewStatus{5, 100, true};
+  Result<ViewNews, SourceError> answer = ViewNews{{5, 100, true}, {}, false, 0};
   std::vector<Endpoint> asked;
 };
 
@@ -58,12 +59,12 @@
   ManualScheduler scheduler{time};
   ManualSource store;
   FakePeers peers;
-  FakeStatuses statuses;
+  FakeNews news;
   std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
   PeerDirectory directory{{}, own(), {}, time, *random};
   UpstreamSelector selector{{}, own(), directory};
   RelaySettings settings;
-  RelayedSource source{settings, store, peers, statuses, selector, scheduler};
+  RelayedSource source{settings, store, peers, news, selector, scheduler};
   std::optional<Result<ItemChanges, SourceError>> answer;
   bool store_answers = true;
   int followed = 0;
@@ -74,10 +75,10 @@
           "[relayed_source]") {
   RelayHarness harness;
   harness.catchUp();
-  CHECK(harness.statuses.asked.empty());
+  CHECK(harness.news.asked.empty());
   const std::size_t store_calls = harness.store.watch_requests.size();
   harness.watchUpstream();
-  CHECK(harness.statuses.asked == std::vector<Endpoint>{RelayHarness::upstream()});
+  CHECK(harness.news.asked == std::vector<Endpoint>{RelayHarness::upstream()});
   REQUIRE(harness.answer.has_value());
   CHECK(harness.answer->value().changes.empty());
   CHECK(harness.answer->value().age_ms == 100);
@@ -86,11 +87,17 @@
   CHECK(harness.followed == 1);
 }
 
-TEST_CASE("changes are read from the upstream", "[relayed_source]") {
+TEST_CASE("small changes come with the answer, larger ones are read from the upstream",
+          "[relayed_source]") {
   RelayHarness harness;
   harness.catchUp();
-  harness.statuses.answer = ViewStatus{9, 10, true};
-  harness.peers.changes = {{written("a", 9)}, 9, 10};
+  SECTION("small") {
+    harness.news.answer = ViewNews{{9, 10, true}, {written("a", 9)}, false, 20};
+  }
+  SECTION("larger") {
+    harness.news.answer = ViewNews{{9, 10, true}, {}, true, 2000};
+    harness.peers.changes = {{written("a", 9)}, 9, 10};
+  }
   harness.watchUpstream();
   REQUIRE(harness.answer.has_value());
   CHECK(harness.answer->value().at == 9);
@@ -104,13 +111,13 @@
   harness.watchUpstream();
   const std::size_t store_calls = harness.store.watch_requests.size();
   SECTION("silent") {
-    harness.statuses.answer = SourceError::NoAnswer;
+    harness.news.answer = SourceError::NoAnswer;
   }
   SECTION("old view") {
-    harness.statuses.answer = ViewStatus{5, 1900, true};
+    harness.news.answer = ViewNews{{5, 1900, true}, {}, false, 0};
   }
   SECTION("no view, or about to stop") {
-    harness.statuses.answer = ViewStatus{5, 0, false};
+    harness.news.answer = ViewNews{{5, 0, false}, {}, false, 0};
   }
   harness.watchUpstream();
   CHECK_FALSE(harness.answer.has_value());
@@ -120,11 +127,23 @@
   CHECK_FALSE(harness.selector.choose().has_value());
 }
 
+TEST_CASE("changes that would fill the upstream's link are read from the store",
+          "[relayed_source]") {
+  RelayHarness harness;
+  harness.catchUp();
+  harness.news.answer = ViewNews{{9, 10, true}, {}, true, harness.settings.max_relayed_bytes + 1};
+  harness.watchUpstream();
+  CHECK(harness.peers.calls == 0);
+  CHECK(harness.store.hasWatch(kPrefix));
+  CHECK(harness.left.empty());
+  CHECK(harness.selector.choose() == RelayHarness::upstream());
+}
+
 TEST_CASE("an upstream that began later than this view is caught up with at the store",
           "[relayed_source]") {
   RelayHarness harness;
   harness.catchUp();
-  harness.statuses.answer = ViewStatus{9, 10, true};
+  harness.news.answer = ViewNews{{9, 10, true}, {}, true, 2000};
   harness.peers.error = SourceError::HistoryGone;
   harness.watchUpstream();
   CHECK_FALSE(harness.answer.has_value());
@@ -145,7 +164,7 @@
   }
   harness.watch();
   CHECK(harness.store.hasWatch(kPrefix));
-  CHECK(harness.statuses.asked.empty());
+  CHECK(harness.news.asked.empty());
 }
 
 }  // namespace
--- a/tests/runtime/udp_status_client_test.cc
+++ b/tests/runtime/udp_news_client_test.cc
@@ -1,4 +1,4 @@
-#include "runtime/udp_status_client.h"
+#include "runtime/udp_news_client.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,18 +9,22 @@
 
 constexpr std::uint32_t kFirst = 0x7f000001;
 constexpr std::uint32_t kSecond = 0x7f000002;
-const StatusKey kKey = deriveStatusKey(std::array<std::uint8_t, 1>{7});
+const NewsKey kKey = deriveNewsKey(std::array<std::uint8_t, 1>{7});
 
 /** Two balancers that ask each other on one port number of two loopback addresses. */
-struct StatusHarness {
-  std::unique_ptr<UdpStatusClient> make(Endpoint address, const StatusKey& key) {
-    return std::make_unique<UdpStatusClient>(
-        io_context, address, key, StatusClientSettings(), [this] { return status; }, scheduler,
-        *random);
+struct NewsHarness {
+  std::unique_ptr<UdpNewsClient> make(Endpoint address, const NewsKey& key) {
+    return std::make_unique<UdpNewsClient>(
+        io_context, address, key, NewsClientSettings(),
+        [this](Revision after) {
+          asked_after = after;
+          return ViewNews{status, {}, false, 0};
+        },
+        scheduler, *random);
   }
 
   void ask() {
-    asking->askStatus({kSecond, 1}, [this](Result<ViewStatus, SourceError> result) {
+    asking->askNews({kSecond, 1}, 3, [this](Result<ViewNews, SourceError> result) {
       answer = std::move(result);
       io_context.stop();
     });
@@ -34,27 +38,28 @@
   UdpEndpoint port_holder{io_context, {kFirst, 0}, [](std::span<const std::uint8_t>, Endpoint) {}};
   const std::uint16_t port = static_cast<std::uint16_t>(port_holder.localAddress().port);
   /** The port is free at other loopback addresses. */
-  std::unique_ptr<UdpStatusClient> asking = make({0x7f000003, port}, kKey);
-  std::optional<Result<ViewStatus, SourceError>> answer;
+  std::unique_ptr<UdpNewsClient> asking = make({0x7f000003, port}, kKey);
+  std::optional<Result<ViewNews, SourceError>> answer;
+  Revision asked_after = 0;
 };
 
-TEST_CASE("a balancer tells another how new its view is", "[udp_status_client]") {
-  StatusHarness harness;
+TEST_CASE("a balancer tells another how new its view is", "[udp_news_client]") {
+  NewsHarness harness;
   const auto asked = harness.make({kSecond, harness.port}, kKey);
   harness.ask();
   REQUIRE(harness.answer.has_value());
   REQUIRE(*harness.answer);
-  CHECK(harness.answer->value().position == 12);
-  CHECK(harness.answer->value().serves_view);
+  CHECK(harness.answer->value().status.position == 12);
+  CHECK(harness.answer->value().status.serves_view);
+  CHECK(harness.asked_after == 3);
 }
 
-TEST_CASE("silence and foreign keys end in no answer", "[udp_status_client]") {
-  StatusHarness harness;
-  std::unique_ptr<UdpStatusClient> foreign;
+TEST_CASE("silence and foreign keys end in no answer", "[udp_news_client]") {
+  NewsHarness harness;
+  std::unique_ptr<UdpNewsClient> foreign;
   SECTION("nobody is there") {}
   SECTION("another fleet's key") {
-    foreign =
-        harness.make({kSecond, harness.port}, deriveStatusKey(std::array<std::uint8_t, 1>{8}));
+    foreign = harness.make({kSecond, harness.port}, deriveNewsKey(std::array<std::uint8_t, 1>{8}));
   }
   harness.ask();
   REQUIRE(harness.answer.has_value());
