Take no back end for dead while many look silent

At that moment a configuration of 3,000 routes (0.8 MB) reached balancers whose links carry 10 Mbit/s, so that callers' packets waited behind it and callers repeated themselves whichever server they talked to. The guard against that counted only back ends that were fully proved dead, of all ever heard of; with a few flows for each of 120 servers, hardly any is, so the guard did not close.

Ruled out: a wrong token (the flow had gone to its server for 14 s), a retired server (its entry was current).

Change: the share counts back ends that look silent, be it by one flow, of those in use in the last 2 s. Test: "a node to which many back ends are silent by one flow each resets nothing", red before.

--- a/src/flow/silence_detector.cc
+++ b/src/flow/silence_detector.cc
@@ -75,10 +75,19 @@
   if (record == nullptr || !looksDead(*record)) {
     return false;
   }
-  const auto dead = std::count_if(records_.begin(), records_.end(),
-                                  [this](const auto& entry) { return looksDead(entry.second); });
-  return static_cast<double>(dead) <=
-         settings_.max_dead_share * static_cast<double>(records_.size());
+  return !manyLookSilent();
+}
+
+bool SilenceDetector::manyLookSilent() const {
+  const MonotonicTime earliest = time_source_.monotonicTime() - settings_.memory;
+  std::size_t silent = 0;
+  std::size_t in_use = 0;
+  for (const auto& [id, record] : records_) {
+    const bool repeated = record.repeated_at != MonotonicTime() && record.repeated_at >= earliest;
+    silent += repeated ? 1 : 0;
+    in_use += repeated || record.life_at >= earliest ? 1 : 0;
+  }
+  return static_cast<double>(silent) > settings_.max_silent_share * static_cast<double>(in_use);
 }
 
 Duration SilenceDetector::silentFor(BackendId backend) const {
--- a/src/flow/silence_detector.h
+++ b/src/flow/silence_detector.h
@@ -26,8 +26,11 @@
   Duration slow_memory = seconds(60);
   /** Shortest time without any sign of life after which a back end is taken for dead. */
   Duration dead_after = milliseconds(500);
-  /** Largest share of all back ends heard of that may be dead; above it the fault is our own. */
-  double max_dead_share = 0.34;
+  /**
+   * Largest share of the back ends in use lately that may look silent, be it by one flow; above it
+   * the fault is this node's own (its links, or packets that waited), and none is taken for dead.
+   */
+  double max_silent_share = 0.34;
 };
 
 /**
@@ -89,6 +92,8 @@
   const Record* find(BackendId backend) const;
   void noteSilentFlow(BackendId backend, const FlowId& flow, std::uint16_t repetitions);
   bool looksDead(const Record& record) const;
+  /** @return true where many back ends look silent to this node at once. */
+  bool manyLookSilent() const;
   /** Logs a change of what is believed of the back end, once until its next sign of life. */
   void tellBelief(BackendId backend, Record& record, std::string_view cause);
   std::uint16_t repetitionsOfDead() const;
--- a/tests/flow/packet_router_test.cc
+++ b/tests/flow/packet_router_test.cc
@@ -307,6 +307,29 @@
   CHECK(harness.resets.empty());
 }
 
+/** A link that holds packets up makes callers repeat themselves whichever back end they talk to. */
+TEST_CASE("a node to which many back ends are silent by one flow each resets nothing",
+          "[packet_router]") {
+  PacketHarness harness;
+  harness.setConfiguration(manyBackends());
+  BackendId living;
+  const auto ports = openAtOne(harness, 3, living);
+  std::map<std::uint16_t, CompactToken> flows;
+  for (const std::uint16_t port : ports) {
+    flows[port] = harness.tokens.encode(harness.packet(port).flow(), living);
+  }
+  for (std::uint16_t port = 40000; port < 40020; ++port) {
+    flows[port] = harness.open(port).token;
+  }
+  for (int repetition = 0; repetition < 4; ++repetition) {
+    for (const auto& [port, token] : flows) {
+      harness.data(port, token, 1001, 1);
+    }
+    harness.time.elapsed += milliseconds(300);
+  }
+  CHECK(harness.resets.empty());
+}
+
 TEST_CASE("the end of a handshake is timed", "[packet_router]") {
   PacketHarness harness;
   const auto opened = harness.open(5000);
