Explain a flow or a back end from the logs of all nodes

Change: lugforkctl explain reads log lines from files or standard input, also behind a collector's prefix, and prints the story of one flow (--flow) or back end (--backend): the flow's lines on all nodes, what was believed of its back end, what happened to the nodes that handled it. The same news of many nodes counts once.

--- /dev/null
+++ b/src/explain/story.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <set>
+
+#include "explain/clock_skew.h"
+
+namespace lugfork {
+
+/** What to explain: a flow by its caller, or a back end. */
+struct StoryQuestion {
+  /** "a.b.c.d:port" of the caller, or "caller>service"; empty for no flow. */
+  std::string flow;
+  /** Name or id of a back end; empty for none. */
+  std::string backend;
+  /** Time around the flow's own lines from which others are told [ms]. */
+  std::int64_t around_ms = 10000;
+};
+
+/** One line of a story; several nodes that told the same count once. */
+struct StoryLine {
+  LogLine line;
+  /** The line's time, corrected for the node's clock [ms]. */
+  std::int64_t time_ms = 0;
+  /** Further nodes that told the same, and when the last of them did. */
+  std::set<std::string> other_nodes;
+  std::int64_t last_time_ms = 0;
+};
+
+struct Story {
+  /** In the order of time. */
+  std::vector<StoryLine> lines;
+  /** Nodes whose clocks are off, with by how much [ms]. */
+  std::map<std::string, std::int64_t> skewed_clocks;
+};
+
+/**
+ * Picks the lines that touch a flow, the back ends that it went to and the nodes that handled it,
+ * over all nodes.
+ * @param lines of all nodes, those of one node in the order in which it wrote them.
+ */
+Story tellStory(const std::vector<LogLine>& lines, const StoryQuestion& question);
+
+}  // namespace lugfork
--- a/src/programs/ctl_commands.h
+++ b/src/programs/ctl_commands.h
@@ -23,4 +23,7 @@
 /** request: make one call as a caller. */
 void addRequestCommand(CLI::App& app, CommandBody& run);
 
+/** explain: the story of a flow or a back end from log lines. */
+void addExplainCommand(CLI::App& app, CommandBody& run);
+
 }  // namespace lugfork
--- a/src/programs/lugforkctl.cc
+++ b/src/programs/lugforkctl.cc
@@ -15,5 +15,6 @@
   lugfork::addReadCommands(app, run);
   lugfork::addKeyCommands(app, run);
   lugfork::addRequestCommand(app, run);
+  lugfork::addExplainCommand(app, run);
   return lugfork::runProgram(app, argc, argv, [&run] { return run(); });
 }
