Give slow servers fewer new flows, by response times seen in packets

Nothing told a node that a server is slow: they report no load here, and a handshake is as fast as before.

Ruled out: silence (a slow server answers), health checks (each takes a slot and is priced).

Change: the time from a request's first packet to the first that acknowledges its answer is kept for each server; one that takes more than 1.5 times the median of its service gets new flows in proportion, a tenth at least. What is not heard of for 3 s counts as usual again. Open flows stay.

Tests: response_times, "an answer is timed from the first packet of its request".

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration kCleanupInterval = seconds(10);
+constexpr Duration kComparisonInterval = milliseconds(500);
 
 PlacementSettings placementSettingsOf(const PacketNodeSettings& settings) {
   PlacementSettings placement = settings.placement;
@@ -30,16 +31,19 @@
       decider_(settings_.decider, time_source, placement_, *this),
       observer_(settings_.observer, time_source),
       silence_(settings_.silence, time_source, log),
+      response_times_(settings_.response_times, time_source),
       tokens_(settings_.token_key),
       router_(decider_, silence_, observer_, tokens_, sender, *this, log),
       follower_(layout.prefix, settings_.follower, source, scheduler, time_source, random, *this) {
   decider_.setCompactTokens(&tokens_);
   placement_.setSuspicion(&silence_);
+  placement_.setSpeed(&response_times_);
 }
 
 void PacketNode::start() {
   follower_.start();
   scheduleCleanup();
+  scheduleComparison();
 }
 
 bool PacketNode::isComplete() const {
@@ -126,6 +130,7 @@
   ++counters_.configurations_applied;
   const ConfigurationViewPtr configuration = registry_.makeConfiguration();
   silence_.retain(*configuration);
+  response_times_.retain(*configuration);
   decider_.setConfiguration(configuration);
   // The operator's first routes may come after the first full read.
   if (isComplete() && on_complete_) {
@@ -133,6 +138,15 @@
   }
 }
 
+void PacketNode::scheduleComparison() {
+  scheduler_.callAfter(kComparisonInterval, [this] {
+    if (decider_.configuration() != nullptr) {
+      response_times_.compare(*decider_.configuration());
+    }
+    scheduleComparison();
+  });
+}
+
 void PacketNode::scheduleCleanup() {
   scheduler_.callAfter(kCleanupInterval, [this] {
     if (registry_.forgetRetired()) {
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -24,6 +24,7 @@
   FlowDeciderSettings decider;
   PlacementSettings placement;
   SilenceSettings silence;
+  ResponseTimeSettings response_times;
   LoadEstimateSettings load;
   ViewFollowerSettings follower;
 };
@@ -87,6 +88,9 @@
   bool viewIsFresh() const override;
   ViewStamp viewStamp() const override;
   void onHandshake(Duration duration) override;
+  void onResponse(BackendId backend, Duration duration) override {
+    response_times_.onResponse(backend, duration);
+  }
 
   // ViewFollowerHost
   void onItems(const std::vector<ItemChange>& changes) override;
@@ -98,6 +102,7 @@
   void applySoon();
   void apply();
   void scheduleCleanup();
+  void scheduleComparison();
 
   const PacketNodeSettings settings_;
   const RecordDecoder& decoder_;
@@ -109,6 +114,7 @@
   FlowDecider decider_;
   FlowObserver observer_;
   SilenceDetector silence_;
+  ResponseTimes response_times_;
   const CompactTokenCodec tokens_;
   PacketRouter router_;
   ViewFollower follower_;
--- a/src/flow/flow_observer.cc
+++ b/src/flow/flow_observer.cc
@@ -57,20 +57,37 @@
     slot.progress_at = time_source_.monotonicTime();
     return {};
   }
+  const Duration response = noteAnswer(slot, packet);
   const bool repeats = packet.payload_bytes > 0 && !isAfter(end, slot.next_sequence);
   if (isAfter(end, slot.next_sequence)) {
     slot.next_sequence = end;
   }
   const bool window_moved = isAfter(end, slot.progress_sequence + settings_.window_bytes);
   if (!slot.open || window_moved || isAfter(packet.acknowledged, slot.acknowledged)) {
-    return noteProgress(slot, packet);
+    FlowObservation observation = noteProgress(slot, packet);
+    observation.response = response;
+    return observation;
   }
   if (repeats && noteRepetition(slot)) {
-    return {FlowEvidence::Silence, Duration::zero(), slot.repetitions};
+    return {FlowEvidence::Silence, Duration::zero(), slot.repetitions, Duration::zero()};
   }
   return {};
 }
 
+Duration FlowObserver::noteAnswer(ObservedFlow& flow, const FlowPacket& packet) const {
+  const MonotonicTime now = time_source_.monotonicTime();
+  const bool is_answered = flow.open && flow.request_at != MonotonicTime() &&
+                           isAfter(packet.acknowledged, flow.acknowledged);
+  const Duration response = is_answered ? now - flow.request_at : Duration::zero();
+  if (is_answered) {
+    flow.request_at = MonotonicTime();
+  }
+  if (packet.payload_bytes > 0 && flow.request_at == MonotonicTime()) {
+    flow.request_at = now;
+  }
+  return response;
+}
+
 FlowObservation FlowObserver::noteProgress(ObservedFlow& flow, const FlowPacket& packet) const {
   const MonotonicTime now = time_source_.monotonicTime();
   const Duration handshake = flow.open ? Duration::zero() : now - flow.progress_at;
@@ -78,7 +95,8 @@
   flow.acknowledged = packet.acknowledged;
   flow.progress_sequence = flow.next_sequence;
   flow.progress_at = now;
-  return {FlowEvidence::Progress, handshake, std::exchange(flow.repetitions, std::uint16_t{0})};
+  return {FlowEvidence::Progress, handshake, std::exchange(flow.repetitions, std::uint16_t{0}),
+          Duration::zero()};
 }
 
 bool FlowObserver::noteRepetition(ObservedFlow& flow) const {
--- a/src/flow/flow_observer.h
+++ b/src/flow/flow_observer.h
@@ -24,6 +24,8 @@
   Duration handshake{};
   /** Repetitions of the flow since its last progress, this one included. */
   std::uint16_t repetitions = 0;
+  /** Time from the first data of a request, where this packet shows its answer; else zero. */
+  Duration response{};
 };
 
 /** What is known of how callers send. */
@@ -51,6 +53,8 @@
   bool open = false;
   MonotonicTime progress_at;
   MonotonicTime repeated_at;
+  /** First data since the last part of an answer; unset for none. */
+  MonotonicTime request_at;
 };
 
 /**
@@ -77,6 +81,9 @@
   ObservedFlow& slotOf(const FlowId& flow);
   const ObservedFlow& slotOf(const FlowId& flow) const;
 
+  /** Notes data and answers. @return the time of the answer that the packet shows, or zero. */
+  Duration noteAnswer(ObservedFlow& flow, const FlowPacket& packet) const;
+
   FlowObservation noteProgress(ObservedFlow& flow, const FlowPacket& packet) const;
 
   /** Notes data that was sent before. @return true if that is a repetition of its own. */
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -119,6 +119,9 @@
   if (observation.handshake > Duration::zero()) {
     host_.onHandshake(observation.handshake);
   }
+  if (observation.response > Duration::zero()) {
+    host_.onResponse(backend, observation.response);
+  }
   if (observation.evidence == FlowEvidence::Progress) {
     silence_.onLife(backend, observation.repetitions);
   } else if (observation.evidence == FlowEvidence::Silence) {
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -10,8 +10,12 @@
 class LoadedCandidates : public CandidateSet {
  public:
   LoadedCandidates(const std::vector<const Backend*>& backends, const BackendLoadTable& loads,
-                   std::optional<ZoneId> local_zone, double local_weight)
-      : backends_(backends), loads_(loads), local_zone_(local_zone), local_weight_(local_weight) {}
+                   const BackendSpeed* speed, std::optional<ZoneId> local_zone, double local_weight)
+      : backends_(backends),
+        loads_(loads),
+        speed_(speed),
+        local_zone_(local_zone),
+        local_weight_(local_weight) {}
 
   std::size_t size() const override { return backends_.size(); }
   const Backend& backend(std::size_t index) const override { return *backends_[index]; }
@@ -23,12 +27,14 @@
   }
   double weight(std::size_t index) const override {
     const Backend& backend = *backends_[index];
-    return backend.slots * (backend.zone == local_zone_ ? local_weight_ : 1);
+    const double share = speed_ == nullptr ? 1 : speed_->shareOf(backend.id);
+    return share * backend.slots * (backend.zone == local_zone_ ? local_weight_ : 1);
   }
 
  private:
   const std::vector<const Backend*>& backends_;
   const BackendLoadTable& loads_;
+  const BackendSpeed* speed_;
   const std::optional<ZoneId> local_zone_;
   const double local_weight_;
 };
@@ -89,7 +95,7 @@
       volume == FlowVolume::Bulk ? settings_.bulk_local_weight : settings_.local_weight;
   std::vector<const Backend*>& backends = list.backends;
   while (!backends.empty()) {
-    const LoadedCandidates candidates(backends, loads_, local_zone_, local_weight);
+    const LoadedCandidates candidates(backends, loads_, speed_, local_zone_, local_weight);
     const std::size_t index = policy_->choose(candidates, flow, random_);
     const Backend* chosen = backends[index];
     if (fits(*chosen, list)) {
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -8,6 +8,7 @@
 #include "flow/backend_load_table.h"
 #include "flow/outlier_detector.h"
 #include "flow/policy/placement_policy.h"
+#include "flow/response_times.h"
 #include "wire/datagram.h"
 
 namespace lugfork {
@@ -85,6 +86,9 @@
    */
   void onBackendRefusal(const Backend& backend, const FlowKey& attempt, Reason reason);
 
+  /** Sets what tells of back ends that answer slowly; they get fewer flows. */
+  void setSpeed(const BackendSpeed* speed) { speed_ = speed; }
+
   /** Sets what tells of back ends that do not answer; they are passed over. */
   void setSuspicion(const BackendSuspicion* suspicion) { suspicion_ = suspicion; }
 
@@ -127,6 +131,7 @@
   RandomGenerator& random_;
   OutlierDetector outliers_;
   const BackendSuspicion* suspicion_ = nullptr;
+  const BackendSpeed* speed_ = nullptr;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
   /** Id of the local zone in the configuration in force. */
--- a/tests/flow/packet_router_test.cc
+++ b/tests/flow/packet_router_test.cc
@@ -35,6 +35,7 @@
   bool viewIsFresh() const override { return fresh; }
   ViewStamp viewStamp() const override { return {12, milliseconds(30)}; }
   void onHandshake(Duration duration) override { handshakes.push_back(duration); }
+  void onResponse(BackendId, Duration duration) override { responses.push_back(duration); }
 
   FlowPacket packet(std::uint16_t port, Endpoint service = kListen) const {
     FlowPacket packet;
@@ -81,6 +82,7 @@
   std::vector<Sent> sent;
   std::vector<FlowPacket> resets;
   std::vector<Duration> handshakes;
+  std::vector<Duration> responses;
 };
 
 TEST_CASE("any node forwards a later packet by its token", "[packet_router]") {
@@ -330,6 +332,21 @@
   CHECK(harness.resets.empty());
 }
 
+TEST_CASE("an answer is timed from the first packet of its request", "[packet_router]") {
+  PacketHarness harness;
+  const CompactToken token = harness.open(1).token;
+  harness.data(1, token, 1001, 1);
+  harness.time.elapsed += milliseconds(20);
+  harness.data(1, token, 1101, 1);
+  CHECK(harness.responses.empty());
+  harness.time.elapsed += milliseconds(30);
+  harness.data(1, token, 1201, 600);
+  CHECK(harness.responses == std::vector<Duration>{milliseconds(50)});
+  harness.time.elapsed += milliseconds(7);
+  harness.data(1, token, 1301, 900);
+  CHECK(harness.responses == std::vector<Duration>{milliseconds(50), milliseconds(7)});
+}
+
 TEST_CASE("the end of a handshake is timed", "[packet_router]") {
   PacketHarness harness;
   const auto opened = harness.open(5000);
