Tell news in several datagrams, find changes by revision; time answers in the metrics

Change: an answer brings the first changes that fit, and who asked asks at once for the next, up to 16 datagrams a watch; more is read from the store. The view keeps its items in the order of their revisions too. Metrics: whom this node follows, questions, changes by how they came, histograms of response times and of the store's reads. Test at the daemon: of two balancers one follows the other, and the store again once that one is killed.

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -73,6 +73,13 @@
   }
 }
 
+void PacketNode::onResponse(BackendId backend, Duration duration) {
+  response_times_.onResponse(backend, duration);
+  if (on_response_) {
+    on_response_(duration);
+  }
+}
+
 void PacketNode::onItems(const std::vector<ItemChange>& changes) {
   for (const ItemChange& change : changes) {
     onChange(change);
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -75,6 +75,11 @@
     on_handshake_ = std::move(callback);
   }
 
+  /** Sets what is called with the time of each answer that begins here. */
+  void setResponseCallback(std::function<void(Duration)> callback) {
+    on_response_ = std::move(callback);
+  }
+
   const PacketCounters& packetCounters() const { return router_.counters(); }
   const PacketNodeCounters& counters() const { return counters_; }
   const ViewFollower& follower() const { return follower_; }
@@ -88,9 +93,7 @@
   bool viewIsFresh() const override;
   ViewStamp viewStamp() const override;
   void onHandshake(Duration duration) override;
-  void onResponse(BackendId backend, Duration duration) override {
-    response_times_.onResponse(backend, duration);
-  }
+  void onResponse(BackendId backend, Duration duration) override;
 
   // ViewFollowerHost
   void onItems(const std::vector<ItemChange>& changes) override;
@@ -120,6 +123,7 @@
   ViewFollower follower_;
   std::function<void()> on_complete_;
   std::function<void(Duration)> on_handshake_;
+  std::function<void(Duration)> on_response_;
   bool apply_pending_ = false;
   bool leaving_ = false;
   PacketNodeCounters counters_;
--- a/src/discovery/item_view.cc
+++ b/src/discovery/item_view.cc
@@ -9,7 +9,9 @@
   if (change.item.revision <= known.item.revision) {
     return false;
   }
+  by_revision_.erase(known.item.revision);
   known = {change.item, change.deleted};
+  by_revision_[change.item.revision] = &known;
   newest_ = std::max(newest_, change.item.revision);
   return true;
 }
@@ -41,7 +43,7 @@
     auto& [key, known] = *entry;
     const bool covered = known.item.revision <= at;
     if (covered && known.deleted) {
-      entry = known_.erase(entry);
+      entry = erase(entry);
       continue;
     }
     if (covered && !shown_.contains(key)) {
@@ -72,22 +74,25 @@
   return page;
 }
 
-std::optional<ItemChanges> ItemView::changesAfter(Revision after) const {
+std::optional<ItemChanges> ItemView::changesAfter(Revision after, std::size_t limit) const {
   if (after < history_from_) {
     return std::nullopt;
   }
   ItemChanges changes;
   changes.at = position_;
-  for (const auto& [key, known] : known_) {
-    if (known.item.revision > after) {
-      changes.changes.push_back({known.item, known.deleted});
+  for (auto entry = by_revision_.upper_bound(after); entry != by_revision_.end(); ++entry) {
+    if (changes.changes.size() == limit) {
+      changes.at = changes.changes.back().item.revision;
+      break;
     }
+    changes.changes.push_back({entry->second->item, entry->second->deleted});
   }
-  const auto is_older = [](const ItemChange& left, const ItemChange& right) {
-    return left.item.revision < right.item.revision;
-  };
-  std::sort(changes.changes.begin(), changes.changes.end(), is_older);
   return changes;
 }
 
+ItemView::KnownItems::iterator ItemView::erase(KnownItems::iterator entry) {
+  by_revision_.erase(entry->second.item.revision);
+  return known_.erase(entry);
+}
+
 }  // namespace lugfork
--- a/src/discovery/item_view.h
+++ b/src/discovery/item_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
 #include <unordered_set>
@@ -15,6 +16,8 @@
  */
 class ItemView {
  public:
+  static constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
+
   /** @return true if the change is newer than what was known. */
   bool apply(const ItemChange& change);
 
@@ -43,16 +46,25 @@
   /** @return the items after a key, as this view knows them; for nodes that follow this one. */
   ItemPage page(const std::string& after_key, std::size_t limit) const;
 
-  /** @return the changes after a revision; nothing where this view began later than that. */
-  std::optional<ItemChanges> changesAfter(Revision after) const;
+  /**
+   * @param limit most changes; where there are more, `at` of the answer is the last one's revision.
+   * @return the changes after a revision; nothing where this view began later than that.
+   */
+  std::optional<ItemChanges> changesAfter(Revision after, std::size_t limit = kNoLimit) const;
 
  private:
   struct Known {
     Item item;
     bool deleted = false;
   };
+  using KnownItems = std::map<std::string, Known>;
+
+  /** Forgets an item. @return the next one. */
+  KnownItems::iterator erase(KnownItems::iterator entry);
 
-  std::map<std::string, Known> known_;
+  KnownItems known_;
+  /** What is known, in the order of its last changes; elements of the map stay where they are. */
+  std::map<Revision, const Known*> by_revision_;
   std::unordered_set<std::string> shown_;
   std::optional<Revision> full_read_at_;
   Revision newest_ = 0;
--- a/src/discovery/peer_client.h
+++ b/src/discovery/peer_client.h
@@ -37,13 +37,15 @@
 /** What another balancer's view holds beyond a revision. */
 struct ViewNews {
   ViewStatus status;
-  /** The changes after that revision, unless they are withheld. */
+  /** The first changes after that revision, as many as fit into a datagram. */
   std::vector<ItemChange> changes;
-  /** The changes do not fit into a datagram, or are not known. */
+  /** Revision to which these changes lead; more follow where the view's position is higher. */
+  Revision at = 0;
+  /** Not even the first change fits, or the changes are not known. */
   bool withheld = false;
-  /** Size of all of these changes [bytes]; the largest number where they are not known. */
+  /** Size of that change [bytes]; the largest number where it is not known. */
   std::uint32_t change_bytes = 0;
-  auto fields() { return std::tie(status, changes, withheld, change_bytes); }
+  auto fields() { return std::tie(status, changes, at, withheld, change_bytes); }
 };
 
 /** Asks balancers what is new in their views, for less than a call of PeerClient costs. */
--- a/src/discovery/relayed_source.cc
+++ b/src/discovery/relayed_source.cc
@@ -30,10 +30,9 @@
     watchStore(request, std::move(callback));
     return;
   }
-  scheduler_.callAfter(settings_.interval, [this, upstream = *upstream, request,
-                                            callback = std::move(callback)]() mutable {
-    askUpstream(upstream, request, std::move(callback));
-  });
+  const auto relayed = std::make_shared<RelayedWatch>(
+      RelayedWatch{*upstream, request, std::move(callback), request.after, 0, {}});
+  scheduler_.callAfter(settings_.interval, [this, relayed] { askUpstream(relayed); });
 }
 
 void RelayedSource::watchStore(const WatchRequest& request, WatchCallback callback) {
@@ -44,68 +43,86 @@
   });
 }
 
-void RelayedSource::askUpstream(Endpoint upstream, const WatchRequest& request,
-                                WatchCallback callback) {
+void RelayedSource::askUpstream(const RelayedWatchPtr& watch) {
   ++counters_.questions;
-  news_.askNews(upstream, request.after,
-                [this, upstream, request, callback = std::move(callback)](
-                    const Result<ViewNews, SourceError>& answer) mutable {
-                  onNews(upstream, request, answer, std::move(callback));
-                });
+  news_.askNews(watch->upstream, watch->at,
+                [this, watch](const Result<ViewNews, SourceError>& news) { onNews(watch, news); });
 }
 
-void RelayedSource::onNews(Endpoint upstream, const WatchRequest& request,
-                           const Result<ViewNews, SourceError>& answer, WatchCallback callback) {
+void RelayedSource::onNews(const RelayedWatchPtr& watch,
+                           const Result<ViewNews, SourceError>& answer) {
   const bool is_new = answer && answer.value().status.serves_view &&
                       milliseconds(answer.value().status.age_ms) <= settings_.max_age;
   if (is_new) {
-    upstreams_.onAnswer(upstream);
-    follow(upstream);
-    takeNews(upstream, request, answer.value(), std::move(callback));
+    upstreams_.onAnswer(watch->upstream);
+    follow(watch->upstream);
+    takeNews(watch, answer.value());
     return;
   }
   ++counters_.failures;
-  upstreams_.onFailed(upstream);
+  upstreams_.onFailed(watch->upstream);
   if (!answer) {
-    leave(upstream, toString(answer.error()));
+    leave(watch->upstream, toString(answer.error()));
   } else {
-    leave(upstream, answer.value().status.serves_view ? "view too old" : "view not served");
+    leave(watch->upstream, answer.value().status.serves_view ? "view too old" : "view not served");
+  }
+  watchStore(watch->request, watch->callback);
+}
+
+void RelayedSource::takeNews(const RelayedWatchPtr& watch, const ViewNews& news) {
+  counters_.answered += news.changes.empty() ? 0 : 1;
+  watch->changes.insert(watch->changes.end(), news.changes.begin(), news.changes.end());
+  if (news.withheld) {
+    takeWithheld(watch, news);
+    return;
+  }
+  const bool more_follow = news.at < news.status.position && news.at > watch->at;
+  if (!more_follow) {
+    answer(*watch, news);
+    return;
+  }
+  watch->at = news.at;
+  ++watch->datagrams;
+  if (watch->datagrams < settings_.max_datagrams) {
+    askUpstream(watch);
+    return;
   }
-  watchStore(request, std::move(callback));
+  ++counters_.too_large;
+  watchStore(watch->request, watch->callback);
 }
 
-void RelayedSource::takeNews(Endpoint upstream, const WatchRequest& request, const ViewNews& news,
-                             WatchCallback callback) {
-  if (!news.withheld) {
-    counters_.answered += news.changes.empty() ? 0 : 1;
-    callback(ItemChanges{news.changes, std::max(news.status.position, request.after),
-                         news.status.age_ms});
+void RelayedSource::takeWithheld(const RelayedWatchPtr& watch, const ViewNews& news) {
+  if (!watch->changes.empty()) {
+    // The next watch asks for the rest.
+    answer(*watch, news);
     return;
   }
   if (news.change_bytes <= settings_.max_relayed_bytes) {
-    readUpstream(upstream, request, std::move(callback));
+    readUpstream(watch);
     return;
   }
   ++counters_.too_large;
-  watchStore(request, std::move(callback));
+  watchStore(watch->request, watch->callback);
+}
+
+void RelayedSource::answer(const RelayedWatch& watch, const ViewNews& news) {
+  watch.callback(ItemChanges{watch.changes, std::max(news.at, watch.at), news.status.age_ms});
 }
 
-void RelayedSource::readUpstream(Endpoint upstream, const WatchRequest& request,
-                                 WatchCallback callback) {
+void RelayedSource::readUpstream(const RelayedWatchPtr& watch) {
   ++counters_.reads;
-  peers_.readChanges(upstream, request,
-                     [this, upstream, request, callback = std::move(callback)](
-                         const Result<ItemChanges, SourceError>& answer) mutable {
+  peers_.readChanges(watch->upstream, watch->request,
+                     [this, watch](const Result<ItemChanges, SourceError>& answer) {
                        if (answer) {
-                         callback(answer);
+                         watch->callback(answer);
                          return;
                        }
                        ++counters_.failures;
                        if (answer.error() != SourceError::HistoryGone) {
-                         upstreams_.onFailed(upstream);
+                         upstreams_.onFailed(watch->upstream);
                        }
-                       leave(upstream, toString(answer.error()));
-                       watchStore(request, std::move(callback));
+                       leave(watch->upstream, toString(answer.error()));
+                       watchStore(watch->request, watch->callback);
                      });
 }
 
--- a/src/discovery/relayed_source.h
+++ b/src/discovery/relayed_source.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <memory>
+
 #include "common/scheduler.h"
 #include "discovery/peer_client.h"
 #include "discovery/upstream_selector.h"
@@ -14,6 +16,8 @@
   Duration max_age = milliseconds(1800);
   /** Changes larger than this are read from the store, to spare the upstream's link [bytes]. */
   std::uint32_t max_relayed_bytes = 32 * 1024;
+  /** Datagrams in which one watch is answered at most; more news is read from the store. */
+  std::uint32_t max_datagrams = 16;
 };
 
 /** Told whom this balancer follows. */
@@ -54,15 +58,29 @@
   void watch(const WatchRequest& request, WatchCallback callback) override;
 
   const RelayCounters& counters() const { return counters_; }
+  bool isFollowing() const { return following_.has_value(); }
 
  private:
   void watchStore(const WatchRequest& request, WatchCallback callback);
-  void askUpstream(Endpoint upstream, const WatchRequest& request, WatchCallback callback);
-  void onNews(Endpoint upstream, const WatchRequest& request,
-              const Result<ViewNews, SourceError>& answer, WatchCallback callback);
-  void takeNews(Endpoint upstream, const WatchRequest& request, const ViewNews& news,
-                WatchCallback callback);
-  void readUpstream(Endpoint upstream, const WatchRequest& request, WatchCallback callback);
+  /** A watch that an upstream answers, in one datagram or several. */
+  struct RelayedWatch {
+    Endpoint upstream;
+    WatchRequest request;
+    WatchCallback callback;
+    /** Changes up to here were told. */
+    Revision at = 0;
+    std::uint32_t datagrams = 0;
+    std::vector<ItemChange> changes;
+  };
+  using RelayedWatchPtr = std::shared_ptr<RelayedWatch>;
+
+  void askUpstream(const RelayedWatchPtr& watch);
+  void onNews(const RelayedWatchPtr& watch, const Result<ViewNews, SourceError>& answer);
+  void takeNews(const RelayedWatchPtr& watch, const ViewNews& news);
+  void takeWithheld(const RelayedWatchPtr& watch, const ViewNews& news);
+  void readUpstream(const RelayedWatchPtr& watch);
+  /** Answers with what the upstream has told so far. */
+  static void answer(const RelayedWatch& watch, const ViewNews& news);
   void leave(Endpoint upstream, std::string_view cause);
   void follow(Endpoint upstream);
 
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/post.hpp>
 #include <csignal>
-#include <limits>
 
 #include "runtime/api_response.h"
 #include "runtime/program.h"
@@ -43,8 +42,8 @@
       peer_client_(http_client, peerBearerToken(settings_.node.token_key)),
       peer_exchange_(settings_.peer_exchange, settings_.control_address, directory_, peer_client_,
                      scheduler_, *random_),
-      source_(settings_.failover, platform.source, peer_client_, directory_, scheduler_,
-              time_source_),
+      store_(platform.source, time_source_),
+      source_(settings_.failover, store_, peer_client_, directory_, scheduler_, time_source_),
       upstreams_(settings_.upstream, settings_.control_address, directory_),
       node_(settings_.node, platform.layout, makeNodeSource(), *this, scheduler_, time_source_,
             *random_, log_),
@@ -58,6 +57,8 @@
       reload_(std::move(reload)) {
   awaitSignal();
   source_.setHost(this);
+  store_.setTimeCallback([this](Duration duration) { metrics_.onStoreRead(duration); });
+  node_.setResponseCallback([this](Duration duration) { metrics_.onResponse(duration); });
   node_.setHandshakeCallback([this](Duration duration) { metrics_.onHandshake(duration); });
   node_.setCompletionCallback([this] {
     // Packets that came before wait in the socket and are served now.
@@ -73,7 +74,7 @@
   }
   news_client_ = std::make_unique<UdpNewsClient>(
       io_context_, settings_.news_address, deriveNewsKey(settings_.node.token_key),
-      settings_.news_client, [this](Revision after) { return viewNews(after); }, scheduler_,
+      settings_.news_client, [this](Revision after) { return ownNews(after); }, scheduler_,
       *random_);
   relayed_source_ = std::make_unique<RelayedSource>(settings_.relay, source_, peer_client_,
                                                     *news_client_, upstreams_, scheduler_);
@@ -216,26 +217,11 @@
               {"age_ms", toMilliseconds(node_.follower().age())}});
 }
 
-ViewNews PacketDaemon::viewNews(Revision after) const {
+ViewNews PacketDaemon::ownNews(Revision after) const {
   const ViewFollower& follower = node_.follower();
-  ViewNews news;
-  news.status = {follower.view().position(), toWireMilliseconds(follower.age()),
-                 follower.isCaughtUp() && !node_.isLeaving()};
-  if (news.status.position <= after) {
-    return news;
-  }
-  auto changes = follower.view().changesAfter(after);
-  if (!changes) {
-    news.withheld = true;
-    news.change_bytes = std::numeric_limits<std::uint32_t>::max();
-    return news;
-  }
-  news.change_bytes = encodedSize(changes->changes);
-  news.withheld = news.change_bytes > kMaxChangeBytes;
-  if (!news.withheld) {
-    news.changes = std::move(changes->changes);
-  }
-  return news;
+  const ViewStatus status{follower.view().position(), toWireMilliseconds(follower.age()),
+                          follower.isCaughtUp() && !node_.isLeaving()};
+  return makeNews(follower.view(), status, after);
 }
 
 HttpResponse PacketDaemon::onReadyRequest(const HttpRequest& request) const {
@@ -248,7 +234,8 @@
 HttpResponse PacketDaemon::onControlRequest(const HttpRequest& request) {
   return callOnLoop(io_context_, [&] {
     if (request.path == kMetricsPath) {
-      return plainText(kHttpOk, metrics_.render(node_, counters_, log_.suppressed()));
+      return plainText(
+          kHttpOk, metrics_.render({node_, counters_, relayed_source_.get(), log_.suppressed()}));
     }
     return peer_handler_.handle(request);
   });
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -11,6 +11,7 @@
 #include "discovery/failover_source.h"
 #include "discovery/peer_exchange.h"
 #include "discovery/relayed_source.h"
+#include "discovery/timed_source.h"
 #include "runtime/asio_scheduler.h"
 #include "runtime/http_server.h"
 #include "runtime/leave_timer.h"
@@ -81,7 +82,7 @@
   /** Makes what is needed to follow other balancers. @return where the node reads the view. */
   ItemSource& makeNodeSource();
   /** @return what other balancers are told of this one's view. */
-  ViewNews viewNews(Revision after) const;
+  ViewNews ownNews(Revision after) const;
   void onDatagram(std::span<const std::uint8_t> bytes, Endpoint from);
   void awaitSignal();
   void onSignal(int signal);
@@ -105,6 +106,7 @@
   PeerDirectory directory_;
   HttpPeerClient peer_client_;
   PeerExchange peer_exchange_;
+  TimedSource store_;
   FailoverSource source_;
   UpstreamSelector upstreams_;
   /** Both are unset where this balancer follows no other. */
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -61,25 +61,48 @@
            std::chrono::duration<double>(follower.age()).count());
 }
 
+void addRelay(prometheus::Registry& registry, const RelayedSource& relay) {
+  const RelayCounters& counters = relay.counters();
+  addGauge(registry, "lugfork_relay_following", "1 while another balancer's view is followed.",
+           relay.isFollowing() ? 1 : 0);
+  addCounter(registry, "lugfork_relay_questions_total", "Questions to the balancer followed.",
+             counters.questions);
+  addCounter(registry, "lugfork_relay_failures_total", "Questions without a good answer.",
+             counters.failures);
+  const char* help = "Changes of another balancer's view, by how they came.";
+  addCounter(registry, "lugfork_relay_changes_total", help, counters.answered,
+             {{"by", "datagram"}});
+  addCounter(registry, "lugfork_relay_changes_total", help, counters.reads, {{"by", "http"}});
+  addCounter(registry, "lugfork_relay_changes_total", help, counters.too_large, {{"by", "store"}});
+}
+
 }  // namespace
 
 PacketMetrics::PacketMetrics()
     : handshake_(makeHistogram(histograms_, "lugfork_handshake_seconds",
                                "From a flow's opening to the caller's next packet.",
                                kHandshakeBounds)),
+      response_(makeHistogram(histograms_, "lugfork_response_seconds",
+                              "From a request's first packet to the beginning of its answer.",
+                              kHandshakeBounds)),
+      store_read_(makeHistogram(histograms_, "lugfork_platform_read_seconds",
+                                "Reads of the platform's store.", kHandshakeBounds)),
       handling_(makeHistogram(histograms_, "lugfork_packet_handling_seconds",
                               "Time in which a packet was handled.", kHandlingBounds)) {}
 
-std::string PacketMetrics::render(const PacketNode& node, const PacketSocketCounters& sockets,
-                                  std::uint64_t log_lines_left_out) const {
+std::string PacketMetrics::render(const PacketFigures& figures) const {
+  const PacketNode& node = figures.node;
   prometheus::Registry registry;
   addDataPath(registry, node.packetCounters());
-  addSockets(registry, sockets);
+  addSockets(registry, figures.sockets);
   addFollower(registry, node.follower());
+  if (figures.relay != nullptr) {
+    addRelay(registry, *figures.relay);
+  }
   addCounter(registry, "lugfork_platform_records_invalid_total", "Items that can't be read.",
              node.counters().records_invalid);
   addCounter(registry, "lugfork_log_lines_left_out_total", "Log lines left out by the limit.",
-             log_lines_left_out);
+             figures.log_lines_left_out);
   addGauge(registry, "lugfork_routes_version", "Version of the routes in force.",
            static_cast<double>(node.routesVersion()));
   addGauge(registry, "lugfork_ready", "1 while callers may be sent here.", node.isReady() ? 1 : 0);
--- a/src/runtime/packet_metrics.h
+++ b/src/runtime/packet_metrics.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "balancer/packet_node.h"
+#include "discovery/relayed_source.h"
 #include "flow/packet_codec.h"
 
 namespace lugfork {
@@ -16,6 +17,15 @@
   std::array<std::uint64_t, kPacketErrorCount> packets_invalid{};
 };
 
+/** Where the counts of the page stand. */
+struct PacketFigures {
+  const PacketNode& node;
+  const PacketSocketCounters& sockets;
+  /** Unset where the node follows no other. */
+  const RelayedSource* relay = nullptr;
+  std::uint64_t log_lines_left_out = 0;
+};
+
 /** Latency histograms that are filled while the node runs, and the page with all figures. */
 class PacketMetrics {
  public:
@@ -24,12 +34,17 @@
   /** Notes the time from a flow's opening to the caller's next packet. */
   void onHandshake(Duration duration) { handshake_.Observe(toSeconds(duration)); }
 
+  /** Notes the time from a request's first packet to the beginning of its answer. */
+  void onResponse(Duration duration) { response_.Observe(toSeconds(duration)); }
+
+  /** Notes the time of one read of the platform's store. */
+  void onStoreRead(Duration duration) { store_read_.Observe(toSeconds(duration)); }
+
   /** Notes the time in which one packet was handled. */
   void onPacketHandled(Duration duration) { handling_.Observe(toSeconds(duration)); }
 
   /** @return all figures in the Prometheus text format. */
-  std::string render(const PacketNode& node, const PacketSocketCounters& sockets,
-                     std::uint64_t log_lines_left_out) const;
+  std::string render(const PacketFigures& figures) const;
 
  private:
   static double toSeconds(Duration duration) {
@@ -38,6 +53,8 @@
 
   prometheus::Registry histograms_;
   prometheus::Histogram& handshake_;
+  prometheus::Histogram& response_;
+  prometheus::Histogram& store_read_;
   prometheus::Histogram& handling_;
 };
 
--- a/src/wire/news_codec.cc
+++ b/src/wire/news_codec.cc
@@ -2,6 +2,9 @@
 
 #include <sodium.h>
 
+#include <algorithm>
+#include <limits>
+
 #include "wire/message_codec.h"
 
 namespace lugfork {
@@ -12,6 +15,8 @@
 constexpr std::size_t kTagBytes = 16;
 /** No message is longer: changes and the fields around them. */
 constexpr std::size_t kMaxBodyBytes = kMaxChangeBytes + 100;
+/** No change is so small that more of them fit. */
+constexpr std::size_t kMaxChangesTold = 64;
 
 using Tag = std::array<std::uint8_t, kTagBytes>;
 
@@ -31,8 +36,33 @@
   return key;
 }
 
-std::uint32_t encodedSize(const std::vector<ItemChange>& changes) {
-  return static_cast<std::uint32_t>(message_codec::encodeStruct(changes).size());
+ViewNews makeNews(const ItemView& view, const ViewStatus& status, Revision after) {
+  ViewNews news;
+  news.status = status;
+  news.at = std::max(after, status.position);
+  if (status.position <= after) {
+    return news;
+  }
+  auto known = view.changesAfter(after, kMaxChangesTold);
+  if (!known) {
+    news.withheld = true;
+    news.change_bytes = std::numeric_limits<std::uint32_t>::max();
+    return news;
+  }
+  std::size_t bytes = 0;
+  news.at = known->at;
+  for (ItemChange& change : known->changes) {
+    const std::size_t size = message_codec::encodeStruct(change).size();
+    if (bytes + size > kMaxChangeBytes) {
+      news.withheld = news.changes.empty();
+      news.change_bytes = static_cast<std::uint32_t>(size);
+      news.at = news.changes.empty() ? after : news.changes.back().item.revision;
+      break;
+    }
+    bytes += size;
+    news.changes.push_back(std::move(change));
+  }
+  return news;
 }
 
 Bytes encodeNewsMessage(const NewsMessage& message, const NewsKey& key) {
--- a/src/wire/news_codec.h
+++ b/src/wire/news_codec.h
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "common/result.h"
+#include "discovery/item_view.h"
 #include "discovery/peer_client.h"
 #include "wire/codec_error.h"
 #include "wire/datagram.h"
@@ -40,8 +41,11 @@
 /** @return the key for these datagrams, derived from the fleet's secret. */
 NewsKey deriveNewsKey(std::span<const std::uint8_t> fleet_secret);
 
-/** @return the size that changes have in a message [bytes]. */
-std::uint32_t encodedSize(const std::vector<ItemChange>& changes);
+/**
+ * Makes an answer of what a view holds beyond a revision.
+ * @param status of the view; what its position covers is told.
+ */
+ViewNews makeNews(const ItemView& view, const ViewStatus& status, Revision after);
 
 Bytes encodeNewsMessage(const NewsMessage& message, const NewsKey& key);
 
--- a/tests/platform/packetd_test.cc
+++ b/tests/platform/packetd_test.cc
@@ -177,6 +177,36 @@
   CHECK(second.log().find("\"event\":\"peers_followed\"") != std::string::npos);
 }
 
+TEST_CASE("of two balancers one follows the other, and the store again once that one is dead",
+          "[packetd]") {
+  StoreStandin store;
+  store.put("op/config", kRoutes);
+  const std::uint16_t news_port = TestSocket().address().port;
+  Packetd first(store.address(), {}, {kLoopback, news_port});
+  Packetd second(store.address(), {first.controlAddress()}, {kLoopback + 1, news_port});
+  first.start();
+  second.start();
+  // Help lines begin in the same way, but not at the start of a line.
+  const std::string following = "\nlugfork_relay_following 1";
+  const auto follows = [&](const Packetd& daemon) {
+    return daemon.metrics().find(following) != std::string::npos;
+  };
+  REQUIRE(Packetd::eventually([&] { return follows(first) || follows(second); }));
+  const bool first_follows = follows(first);
+  Packetd& follower = first_follows ? first : second;
+  Packetd& upstream = first_follows ? second : first;
+  CHECK_FALSE(follows(upstream));
+  store.put("op/config", R"({"version":8,"routes":[]})");
+  CHECK(follower.metricsSay("lugfork_routes_version 8"));
+  CHECK(follower.metricsSay(R"(lugfork_relay_changes_total{by="datagram"} 1)"));
+
+  upstream.signal(SIGKILL);
+  upstream.wait();
+  CHECK(follower.metricsSay("\nlugfork_relay_following 0"));
+  store.put("op/config", R"({"version":9,"routes":[]})");
+  CHECK(follower.metricsSay("lugfork_routes_version 9"));
+}
+
 TEST_CASE("a planned stop takes little longer than its quiet time", "[packetd]") {
   StoreStandin store;
   store.put("op/config", kRoutes);
