Read all of a watch's news where one change is withheld

Ruled out: an upstream that was behind (its routes_in_force came at once), a store that did not answer.

Change: where a change does not fit into a datagram, the whole watch is read at once from the upstream over HTTP, or from the store. Test "a large change behind small ones is read in the same watch", red before. It replaces a section of "changes of several datagrams ..." that asserted the fault.

--- a/src/discovery/relayed_source.cc
+++ b/src/discovery/relayed_source.cc
@@ -92,11 +92,9 @@
 }
 
 void RelayedSource::takeWithheld(const RelayedWatchPtr& watch, const ViewNews& news) {
-  if (!watch->changes.empty()) {
-    // The next watch asks for the rest.
-    answer(*watch, news);
-    return;
-  }
+  // All is read again from the watch's beginning: had the small changes before the withheld one
+  // been told by themselves, an item that is large and often written would stay behind them for
+  // ever.
   if (news.change_bytes <= settings_.max_relayed_bytes) {
     readUpstream(watch);
     return;
--- a/tests/discovery/relayed_source_test.cc
+++ b/tests/discovery/relayed_source_test.cc
@@ -118,22 +118,37 @@
   RelayHarness harness;
   harness.catchUp();
   harness.news.answer = ViewNews{{9, 10, true}, {written("a", 7)}, 7, false, 0};
-  Revision told_to = 9;
-  SECTION("the rest fits") {
-    harness.news.second_answer = ViewNews{{9, 10, true}, {written("b", 9)}, 9, false, 0};
-  }
-  SECTION("the next change is too large: the next watch asks for it") {
-    harness.news.second_answer = ViewNews{{9, 10, true}, {}, 7, true, 5000};
-    told_to = 7;
-  }
+  harness.news.second_answer = ViewNews{{9, 10, true}, {written("b", 9)}, 9, false, 0};
   harness.watchUpstream();
   CHECK(harness.news.asked_after == std::vector<Revision>{5, 7});
   REQUIRE(harness.answer.has_value());
-  CHECK(harness.answer->value().at == told_to);
-  CHECK(harness.answer->value().changes.size() == (told_to == 9 ? 2 : 1));
+  CHECK(harness.answer->value().at == 9);
+  CHECK(harness.answer->value().changes.size() == 2);
   CHECK(harness.peers.calls == 0);
 }
 
+/** Else a large item that is written again and again would stay behind small ones for ever. */
+TEST_CASE("a large change behind small ones is read in the same watch", "[relayed_source]") {
+  RelayHarness harness;
+  harness.catchUp();
+  harness.news.answer = ViewNews{{9, 10, true}, {written("a", 7)}, 7, false, 0};
+  harness.peers.changes = {{written("a", 7), written("large", 9)}, 9, 10};
+  SECTION("the upstream sends it") {
+    harness.news.second_answer = ViewNews{{9, 10, true}, {}, 7, true, 5000};
+    harness.watchUpstream();
+    REQUIRE(harness.answer.has_value());
+    CHECK(harness.answer->value().at == 9);
+    CHECK(harness.answer->value().changes.size() == 2);
+  }
+  SECTION("the store sends it") {
+    harness.news.second_answer = ViewNews{{9, 10, true}, {}, 7, true, 5000000};
+    harness.watchUpstream();
+    CHECK_FALSE(harness.answer.has_value());
+    REQUIRE(harness.store.hasWatch(kPrefix));
+    CHECK(harness.store.watch_requests.back().after == 5);
+  }
+}
+
 TEST_CASE("news of very many datagrams is read from the store", "[relayed_source]") {
   RelayHarness harness;
   harness.catchUp();
