Let lapsed servers live until two seconds after the store's return

Nodes start, find routes and no server, take that for certain, and reset 206 openings in half a second: clients use up their tries. Ruled out: late starts (0.05 s), the first read (answered in the first 30 ms of the store's return). Change: a source that told nothing for 3 s was away. Until 2 s after its return, and after a start, a vanished entry is 'missing': the server goes on as it was, until it is written again, its address is taken, or the time is over. An opening for which no server is known is dropped then, not reset. 3 s and not less, so that a follower that leaves an old upstream (1.8 s) never keeps a server that its owner took away beyond the bound of 3 s. Tests: packet_node_test (two cases red before), backend_registry_test, packet_router_test.

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -63,6 +63,10 @@
   return isComplete() && follower_.isFresh();
 }
 
+bool PacketNode::backendsAreSettled() const {
+  return follower_.unsettledFor() == Duration::zero();
+}
+
 ViewStamp PacketNode::viewStamp() const {
   return {follower_.revision(), follower_.age()};
 }
@@ -107,7 +111,7 @@
 void PacketNode::onChange(const ItemChange& change) {
   const Item& item = change.item;
   if (change.deleted) {
-    registry_.onServerGone(item.key, item.revision);
+    onDeletion(item);
     return;
   }
   const auto decoded = decoder_.decode(item.key, item.value);
@@ -124,6 +128,30 @@
   }
 }
 
+void PacketNode::onDeletion(const Item& item) {
+  if (backendsAreSettled()) {
+    registry_.onServerGone(item.key, item.revision);
+    return;
+  }
+  registry_.onServerMissing(item.key, item.revision);
+  scheduleRetirement();
+}
+
+void PacketNode::scheduleRetirement() {
+  if (retirement_pending_) {
+    return;
+  }
+  retirement_pending_ = true;
+  scheduler_.callAfter(follower_.unsettledFor(), [this] {
+    retirement_pending_ = false;
+    if (!backendsAreSettled()) {
+      scheduleRetirement();
+    } else if (registry_.retireMissing()) {
+      applySoon();
+    }
+  });
+}
+
 void PacketNode::applySoon() {
   if (apply_pending_) {
     return;
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -91,6 +91,7 @@
   void onNewerConfigurationSeen(ConfigVersion) override {}
   void onBackendDraining(BackendId) override {}
   bool viewIsFresh() const override;
+  bool backendsAreSettled() const override;
   ViewStamp viewStamp() const override;
   void onHandshake(Duration duration) override;
   void onResponse(BackendId backend, Duration duration) override;
@@ -102,6 +103,11 @@
   void onSourceRegained(Duration lost_for) override;
 
   void onChange(const ItemChange& change);
+  void onDeletion(const Item& item);
+
+  /** Takes servers that are still missing for gone once the platform has been back for long enough.
+   */
+  void scheduleRetirement();
   void applySoon();
   void apply();
   void scheduleCleanup();
@@ -125,6 +131,7 @@
   std::function<void(Duration)> on_handshake_;
   std::function<void(Duration)> on_response_;
   bool apply_pending_ = false;
+  bool retirement_pending_ = false;
   bool leaving_ = false;
   PacketNodeCounters counters_;
 };
--- a/src/discovery/backend_registry.cc
+++ b/src/discovery/backend_registry.cc
@@ -38,6 +38,8 @@
   server.revision = revision;
   server.created = created;
   server.retired = false;
+  server.missing_since = 0;
+  retireMissingAt(record.address);
   if (state_changed) {
     log_.write(LogLevel::Info, "discovery", "backend_state",
                {{"backend", record.name},
@@ -51,13 +53,50 @@
 }
 
 void BackendRegistry::onServerGone(const std::string& key, Revision revision) {
+  const auto found = servers_.find(key);
+  if (found == servers_.end() || found->second.retired) {
+    return;
+  }
+  retire(found->second, revision);
+}
+
+void BackendRegistry::onServerMissing(const std::string& key, Revision revision) {
   const auto found = servers_.find(key);
   if (found == servers_.end() || found->second.retired) {
     return;
   }
   Server& server = found->second;
+  server.missing_since = revision;
+  log_.write(LogLevel::Info, "discovery", "backend_missing",
+             {{"backend", server.record.name},
+              {"backend_id", server.id.value()},
+              {"state", nameOf(server.record.state)},
+              {"revision", revision}});
+}
+
+bool BackendRegistry::retireMissing() {
+  bool changed = false;
+  for (auto& [key, server] : servers_) {
+    if (server.missing_since != 0) {
+      retire(server, server.missing_since);
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+void BackendRegistry::retireMissingAt(Endpoint address) {
+  for (auto& [key, server] : servers_) {
+    if (server.missing_since != 0 && server.record.address == address) {
+      retire(server, server.missing_since);
+    }
+  }
+}
+
+void BackendRegistry::retire(Server& server, Revision revision) {
   server.retired = true;
   server.retired_at = time_source_.monotonicTime();
+  server.missing_since = 0;
   log_.write(LogLevel::Info, "discovery", "backend_state",
              {{"backend", server.record.name},
               {"backend_id", server.id.value()},
--- a/src/discovery/backend_registry.h
+++ b/src/discovery/backend_registry.h
@@ -28,6 +28,15 @@
   /** The server's record is gone from the platform. */
   void onServerGone(const std::string& key, Revision revision);
 
+  /**
+   * The server's record has vanished, perhaps only because the platform was away: the server goes
+   * on as it is until it is written again, found gone, or retireMissing().
+   */
+  void onServerMissing(const std::string& key, Revision revision);
+
+  /** Takes servers that are still missing for gone. @return true if the configuration changes. */
+  bool retireMissing();
+
   /** Takes the newest routes; an older version than the one in force is ignored. */
   void onRoutes(const RouteTable& table, Revision revision);
 
@@ -48,10 +57,16 @@
     Revision created = 0;
     bool retired = false;
     MonotonicTime retired_at;
+    /** Its record has vanished, at this revision; 0 where it has not. */
+    Revision missing_since = 0;
   };
 
   using OwnersById = std::unordered_map<BackendId, const Server*>;
 
+  /** Takes missing servers at the address for gone: another server has it now. */
+  void retireMissingAt(Endpoint address);
+  void retire(Server& server, Revision revision);
+
   /** @return for each id in tokens the oldest server that has it; the others get no flows. */
   OwnersById findOwners();
   void reportClash(const Server& left_out, const Server& owner);
--- a/src/discovery/view_follower.cc
+++ b/src/discovery/view_follower.cc
@@ -32,6 +32,11 @@
   return caught_up_ && age() <= settings_.watch_wait + settings_.fresh_for;
 }
 
+Duration ViewFollower::unsettledFor() const {
+  const Duration since_return = time_source_.monotonicTime() - returned_at_;
+  return std::max(Duration::zero(), settings_.settle_time - since_return);
+}
+
 void ViewFollower::startFullRead(ReadConsistency consistency) {
   ++counters_.full_reads;
   consistency_ = consistency;
@@ -106,7 +111,11 @@
 
 void ViewFollower::onAnswer(Duration answer_age) {
   const MonotonicTime now = time_source_.monotonicTime();
-  answered_at_ = std::max(answered_at_, now - answer_age);
+  const MonotonicTime told_at = now - answer_age;
+  if (told_at - answered_at_ > settings_.away_after) {
+    returned_at_ = now;
+  }
+  answered_at_ = std::max(answered_at_, told_at);
   if (failures_in_row_ > 0) {
     failures_in_row_ = 0;
     host_.onSourceRegained(now - failing_since_);
--- a/src/discovery/view_follower.h
+++ b/src/discovery/view_follower.h
@@ -19,6 +19,14 @@
   Duration retry_longest = seconds(1);
   /** Answers older than this, and a bit more than a watch, no longer prove that the view is new. */
   Duration fresh_for = seconds(4);
+  /**
+   * A source that told nothing for longer than this was away, and entries may have lapsed with it.
+   * Longer than a follower needs to leave a balancer whose view grows old (design note 0012): what
+   * vanishes then was taken away by its owner.
+   */
+  Duration away_after = seconds(3);
+  /** Time after a source's return in which living servers write lapsed entries again. */
+  Duration settle_time = seconds(2);
   /** Whether the first full read may be served by a lagging replica; a watch then catches up. */
   ReadConsistency first_read = ReadConsistency::MayBeStale;
 };
@@ -75,6 +83,12 @@
    */
   bool isFresh() const;
 
+  /**
+   * @return time until entries that lapsed while the source was away are back, if ever; zero where
+   * the source has been answering for long enough. What a start finds may have lapsed just as well.
+   */
+  Duration unsettledFor() const;
+
   /** @return time since the platform told the newest of what is known. */
   Duration age() const { return time_source_.monotonicTime() - answered_at_; }
 
@@ -109,6 +123,8 @@
   SourceError last_error_ = SourceError::NoAnswer;
   MonotonicTime failing_since_;
   MonotonicTime answered_at_;
+  /** When the source told something after it had been away, or for the first time. */
+  MonotonicTime returned_at_;
   bool complete_ = false;
   /** A watch has been answered since the view became complete. */
   bool caught_up_ = false;
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -61,11 +61,16 @@
   return first ? first.value().backend->id : BackendId();
 }
 
+bool PacketRouter::isCertain(Reason reason) const {
+  if (reason == Reason::NoBackendInAllowedZones && !host_.backendsAreSettled()) {
+    return false;
+  }
+  return (reason == Reason::UnknownService || reason == Reason::NoBackendInAllowedZones) &&
+         host_.viewIsFresh();
+}
+
 void PacketRouter::refuseOpening(const FlowPacket& packet, const PlacementRefusal& refusal) {
-  const bool is_certain = (refusal.reason == Reason::UnknownService ||
-                           refusal.reason == Reason::NoBackendInAllowedZones) &&
-                          host_.viewIsFresh();
-  if (is_certain) {
+  if (isCertain(refusal.reason)) {
     reset(packet, refusal.reason);
     return;
   }
--- a/src/flow/packet_router.h
+++ b/src/flow/packet_router.h
@@ -37,6 +37,10 @@
   /** @return true where what this node knows of routes and back ends is surely the newest. */
   virtual bool viewIsFresh() const = 0;
 
+  /** @return false where back ends may be missing from what is known, since the platform was away.
+   */
+  virtual bool backendsAreSettled() const = 0;
+
   /** @return which state of the platform this node knows, for logs. */
   virtual ViewStamp viewStamp() const = 0;
 
@@ -68,6 +72,8 @@
 
   /** @return the back end that got an earlier copy of the opening and did not answer, or none. */
   BackendId silentChoice(const FlowPacket& packet);
+  /** @return true where a refusal for that reason would be the same at every node. */
+  bool isCertain(Reason reason) const;
   void refuseOpening(const FlowPacket& packet, const PlacementRefusal& refusal);
   void reset(const FlowPacket& packet, Reason reason);
   void learn(const FlowPacket& packet, BackendId backend);
--- a/tests/balancer/packet_node_test.cc
+++ b/tests/balancer/packet_node_test.cc
@@ -106,6 +106,54 @@
   CHECK(harness.forwarded == std::vector<std::string>(50, "backends/b"));
 }
 
+TEST_CASE("a server whose entry lapsed while the store was away lives until two seconds later",
+          "[packet_node]") {
+  PacketNodeHarness harness;
+  harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server")});
+  harness.source.answerWatch(kPrefix, SourceError::NoAnswer);
+  harness.scheduler.advance(seconds(6));
+  harness.change(deleted("backends/a", 12));
+  harness.open(5000);
+  CHECK(harness.forwarded == std::vector<std::string>{"backends/a"});
+  SECTION("it writes its entry again") {
+    harness.change(written("backends/a", 13, "server"));
+    harness.scheduler.advance(seconds(3));
+    harness.open(5001);
+    CHECK(harness.forwarded.size() == 2);
+  }
+  SECTION("it is gone after that") {
+    harness.scheduler.advance(milliseconds(1600));
+    harness.open(5001);
+    CHECK(harness.forwarded.size() == 1);
+  }
+}
+
+TEST_CASE("a server whose entry goes while the store answers gets nothing new", "[packet_node]") {
+  PacketNodeHarness harness;
+  harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server"),
+                item("backends/b", 4, "server")});
+  harness.scheduler.advance(seconds(2));
+  harness.source.answerWatch(kPrefix, ItemChanges{{}, 11});
+  harness.scheduler.advance(seconds(1));
+  harness.change(deleted("backends/a", 12));
+  for (std::uint16_t port = 1; port <= 50; ++port) {
+    harness.open(port);
+  }
+  CHECK(harness.forwarded == std::vector<std::string>(50, "backends/b"));
+}
+
+TEST_CASE(
+    "a node that starts without any back end stays silent until entries had time to come back",
+    "[packet_node]") {
+  PacketNodeHarness harness;
+  harness.read({item("routes/all", 2, "route")});
+  harness.open(5000);
+  CHECK(harness.resets == 0);
+  harness.scheduler.advance(milliseconds(2100));
+  harness.open(5000);
+  CHECK(harness.resets == 1);
+}
+
 TEST_CASE("a broken item changes nothing and is counted", "[packet_node]") {
   PacketNodeHarness harness;
   harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server")});
--- a/tests/discovery/backend_registry_test.cc
+++ b/tests/discovery/backend_registry_test.cc
@@ -60,6 +60,30 @@
   CHECK(harness.registry.makeConfiguration()->routeAt(kListen) != nullptr);
 }
 
+TEST_CASE("a missing server goes on until it is written again, retired or its address taken",
+          "[backend_registry]") {
+  RegistryHarness harness;
+  harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 3, 3);
+  harness.registry.onServerMissing("backends/a", 9);
+  const auto is_retired = [&] {
+    return harness.find(harness.registry.makeConfiguration(), 0xa)->retired;
+  };
+  CHECK_FALSE(is_retired());
+  SECTION("written again") {
+    harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 10, 10);
+    CHECK_FALSE(harness.registry.retireMissing());
+    CHECK_FALSE(is_retired());
+  }
+  SECTION("still missing") {
+    CHECK(harness.registry.retireMissing());
+    CHECK(is_retired());
+  }
+  SECTION("another server has its address") {
+    harness.registry.onServer("backends/b", server(0xb, "ingest", addressOf(1)), 10, 10);
+    CHECK(is_retired());
+  }
+}
+
 TEST_CASE("a server that is gone stays reachable and gets nothing new", "[backend_registry]") {
   RegistryHarness harness;
   harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 3, 3);
--- a/tests/flow/packet_router_test.cc
+++ b/tests/flow/packet_router_test.cc
@@ -33,6 +33,7 @@
   void onNewerConfigurationSeen(ConfigVersion) override {}
   void onBackendDraining(BackendId) override {}
   bool viewIsFresh() const override { return fresh; }
+  bool backendsAreSettled() const override { return settled; }
   ViewStamp viewStamp() const override { return {12, milliseconds(30)}; }
   void onHandshake(Duration duration) override { handshakes.push_back(duration); }
   void onResponse(BackendId, Duration duration) override { responses.push_back(duration); }
@@ -79,6 +80,7 @@
   PacketRouter router{decider, silence, observer, tokens, *this, *this, log};
   Reason blocked_by = Reason::None;
   bool fresh = true;
+  bool settled = true;
   std::vector<Sent> sent;
   std::vector<FlowPacket> resets;
   std::vector<Duration> handshakes;
@@ -131,6 +133,22 @@
   CHECK(harness.sent.empty());
 }
 
+TEST_CASE("an opening without any back end is reset only once entries had time to come back",
+          "[packet_router]") {
+  PacketHarness harness;
+  Configuration configuration = twoServices();
+  configuration.backends.clear();
+  harness.setConfiguration(configuration);
+  FlowPacket opening = harness.packet(5000);
+  opening.opens = true;
+  harness.settled = false;
+  harness.router.onPacket(opening);
+  CHECK(harness.resets.empty());
+  harness.settled = true;
+  harness.router.onPacket(opening);
+  CHECK(harness.resets.size() == 1);
+}
+
 TEST_CASE("open flows of a retired back end go on until its address is taken", "[packet_router]") {
   PacketHarness harness;
   const auto opened = harness.open(5000);
