Place by the requests in flight that this node sees

Hypothesis: where slots are scarce, requests are late because nobody sees requests in flight; on the users' platform load was estimated by placements of the last 20 ms only, so placement was random. Change: the flow observer, which sees each request's data go by and its answer acknowledged, counts requests in flight for each back end; the load bound of the placement policy works on that count over slots. Bounded: 64 a back end, 0.2 s without a handshake, 1 s without an answer.

Tests: requests_in_flight_test.

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -38,6 +38,7 @@
   decider_.setCompactTokens(&tokens_);
   placement_.setSuspicion(&silence_);
   placement_.setSpeed(&response_times_);
+  placement_.setRequestsInFlight(&observer_.requestsInFlight());
 }
 
 void PacketNode::start() {
--- a/src/flow/flow_observer.cc
+++ b/src/flow/flow_observer.cc
@@ -24,7 +24,8 @@
 FlowObserver::FlowObserver(FlowObserverSettings settings, const TimeSource& time_source)
     : settings_(settings),
       time_source_(time_source),
-      flows_(std::max<std::size_t>(settings.size, 1)) {}
+      flows_(std::max<std::size_t>(settings.size, 1)),
+      in_flight_(time_source) {}
 
 const ObservedFlow* FlowObserver::find(const FlowId& flow) const {
   const ObservedFlow& slot = slotOf(flow);
@@ -33,9 +34,13 @@
 
 void FlowObserver::onPlaced(const FlowPacket& packet, BackendId backend) {
   ObservedFlow& slot = slotOf(packet.flow());
+  if (slot.flow == packet.flow()) {
+    in_flight_.end(slot.backend, slot.flow);
+  }
   slot = ObservedFlow();
   slot.flow = packet.flow();
   slot.backend = backend;
+  in_flight_.begin(backend, slot.flow, settings_.opening_lifetime);
   slot.next_sequence = packet.sequence;
   slot.progress_sequence = packet.sequence;
   slot.progress_at = time_source_.monotonicTime();
@@ -55,6 +60,9 @@
     slot.acknowledged = packet.acknowledged;
     slot.open = true;
     slot.progress_at = time_source_.monotonicTime();
+    if (packet.payload_bytes > 0) {
+      in_flight_.begin(backend, flow, settings_.request_lifetime);
+    }
     return {};
   }
   const Duration response = noteAnswer(slot, packet);
@@ -74,23 +82,29 @@
   return {};
 }
 
-Duration FlowObserver::noteAnswer(ObservedFlow& flow, const FlowPacket& packet) const {
+Duration FlowObserver::noteAnswer(ObservedFlow& flow, const FlowPacket& packet) {
   const MonotonicTime now = time_source_.monotonicTime();
   const bool is_answered = flow.open && flow.request_at != MonotonicTime() &&
                            isAfter(packet.acknowledged, flow.acknowledged);
   const Duration response = is_answered ? now - flow.request_at : Duration::zero();
   if (is_answered) {
     flow.request_at = MonotonicTime();
+    in_flight_.end(flow.backend, flow.flow);
   }
   if (packet.payload_bytes > 0 && flow.request_at == MonotonicTime()) {
     flow.request_at = now;
+    in_flight_.begin(flow.backend, flow.flow, settings_.request_lifetime);
   }
   return response;
 }
 
-FlowObservation FlowObserver::noteProgress(ObservedFlow& flow, const FlowPacket& packet) const {
+FlowObservation FlowObserver::noteProgress(ObservedFlow& flow, const FlowPacket& packet) {
   const MonotonicTime now = time_source_.monotonicTime();
   const Duration handshake = flow.open ? Duration::zero() : now - flow.progress_at;
+  if (!flow.open) {
+    // Callers open a flow when they have something to ask.
+    in_flight_.begin(flow.backend, flow.flow, settings_.request_lifetime);
+  }
   flow.open = true;
   flow.acknowledged = packet.acknowledged;
   flow.progress_sequence = flow.next_sequence;
@@ -113,6 +127,7 @@
 void FlowObserver::forget(const FlowId& flow) {
   ObservedFlow& slot = slotOf(flow);
   if (slot.flow == flow) {
+    in_flight_.end(slot.backend, flow);
     slot = ObservedFlow();
   }
 }
--- a/src/flow/flow_observer.h
+++ b/src/flow/flow_observer.h
@@ -5,6 +5,7 @@
 #include "common/ids.h"
 #include "common/time_source.h"
 #include "flow/flow_packet.h"
+#include "flow/requests_in_flight.h"
 
 namespace lugfork {
 
@@ -37,6 +38,11 @@
   std::uint32_t window_bytes = 16 * 1200;
   /** Repeated packets closer together than this belong to one repetition. */
   Duration repetition_gap = milliseconds(150);
+  /** Longest time for which an opening counts as a request in flight without its handshake's end.
+   */
+  Duration opening_lifetime = milliseconds(200);
+  /** Longest time for which a request counts as in flight without an answer. */
+  Duration request_lifetime = seconds(1);
 };
 
 /** What is remembered of a flow that passed here lately. */
@@ -74,6 +80,9 @@
   /** Notes a later packet. @return what it shows of the back end. */
   FlowObservation onContinuation(const FlowPacket& packet, BackendId backend);
 
+  /** @return the requests that went through this node and wait for their answer. */
+  const RequestsInFlight& requestsInFlight() const { return in_flight_; }
+
   /** Forgets a flow. */
   void forget(const FlowId& flow);
 
@@ -82,9 +91,9 @@
   const ObservedFlow& slotOf(const FlowId& flow) const;
 
   /** Notes data and answers. @return the time of the answer that the packet shows, or zero. */
-  Duration noteAnswer(ObservedFlow& flow, const FlowPacket& packet) const;
+  Duration noteAnswer(ObservedFlow& flow, const FlowPacket& packet);
 
-  FlowObservation noteProgress(ObservedFlow& flow, const FlowPacket& packet) const;
+  FlowObservation noteProgress(ObservedFlow& flow, const FlowPacket& packet);
 
   /** Notes data that was sent before. @return true if that is a repetition of its own. */
   bool noteRepetition(ObservedFlow& flow) const;
@@ -92,6 +101,7 @@
   const FlowObserverSettings settings_;
   const TimeSource& time_source_;
   std::vector<ObservedFlow> flows_;
+  RequestsInFlight in_flight_;
 };
 
 }  // namespace lugfork
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -10,17 +10,23 @@
 class LoadedCandidates : public CandidateSet {
  public:
   LoadedCandidates(const std::vector<const Backend*>& backends, const BackendLoadTable& loads,
-                   const BackendSpeed* speed, std::optional<ZoneId> local_zone, double local_weight)
+                   const BackendSpeed* speed, const RequestsInFlight* in_flight,
+                   std::optional<ZoneId> local_zone, double local_weight)
       : backends_(backends),
         loads_(loads),
         speed_(speed),
+        in_flight_(in_flight),
         local_zone_(local_zone),
         local_weight_(local_weight) {}
 
   std::size_t size() const override { return backends_.size(); }
   const Backend& backend(std::size_t index) const override { return *backends_[index]; }
   double estimatedLoad(std::size_t index) const override {
-    return loads_.estimatedLoad(*backends_[index]);
+    const Backend& backend = *backends_[index];
+    if (in_flight_ == nullptr) {
+      return loads_.estimatedLoad(backend);
+    }
+    return static_cast<double>(in_flight_->count(backend.id)) / backend.slots;
   }
   double reportedLoad(std::size_t index) const override {
     return loads_.reportedLoad(*backends_[index]);
@@ -35,6 +41,7 @@
   const std::vector<const Backend*>& backends_;
   const BackendLoadTable& loads_;
   const BackendSpeed* speed_;
+  const RequestsInFlight* in_flight_;
   const std::optional<ZoneId> local_zone_;
   const double local_weight_;
 };
@@ -95,7 +102,8 @@
       volume == FlowVolume::Bulk ? settings_.bulk_local_weight : settings_.local_weight;
   std::vector<const Backend*>& backends = list.backends;
   while (!backends.empty()) {
-    const LoadedCandidates candidates(backends, loads_, speed_, local_zone_, local_weight);
+    const LoadedCandidates candidates(backends, loads_, speed_, in_flight_, local_zone_,
+                                      local_weight);
     const std::size_t index = policy_->choose(candidates, flow, random_);
     const Backend* chosen = backends[index];
     if (fits(*chosen, list)) {
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -8,6 +8,7 @@
 #include "flow/backend_load_table.h"
 #include "flow/outlier_detector.h"
 #include "flow/policy/placement_policy.h"
+#include "flow/requests_in_flight.h"
 #include "flow/response_times.h"
 #include "wire/datagram.h"
 
@@ -89,6 +90,9 @@
   /** Sets what tells of back ends that answer slowly; they get fewer flows. */
   void setSpeed(const BackendSpeed* speed) { speed_ = speed; }
 
+  /** Sets what counts unanswered requests; load is then estimated by them. */
+  void setRequestsInFlight(const RequestsInFlight* in_flight) { in_flight_ = in_flight; }
+
   /** Sets what tells of back ends that do not answer; they are passed over. */
   void setSuspicion(const BackendSuspicion* suspicion) { suspicion_ = suspicion; }
 
@@ -132,6 +136,7 @@
   OutlierDetector outliers_;
   const BackendSuspicion* suspicion_ = nullptr;
   const BackendSpeed* speed_ = nullptr;
+  const RequestsInFlight* in_flight_ = nullptr;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
   /** Id of the local zone in the configuration in force. */
--- /dev/null
+++ b/tests/flow/requests_in_flight_test.cc
@@ -0,0 +1,115 @@
+#include "flow/requests_in_flight.h"
+
+#include <catch2/catch.hpp>
+
+#include "flow/flow_observer.h"
+#include "flow/router_harness.h"
+
+namespace lugfork {
+namespace {
+
+const BackendId kFirst{1};
+const BackendId kSecond{2};
+
+FlowPacket packetOf(std::uint16_t port) {
+  FlowPacket packet;
+  packet.caller = {kCaller.address, port};
+  packet.service = kListen;
+  packet.sequence = 1000;
+  return packet;
+}
+
+/** What a caller sends on a flow, as an observer sees it. */
+struct ObserverHarness {
+  void open(std::uint16_t port, BackendId backend) {
+    FlowPacket packet = packetOf(port);
+    packet.opens = true;
+    observer.onPlaced(packet, backend);
+  }
+  void send(std::uint16_t port, BackendId backend, std::uint32_t acknowledged,
+            std::uint16_t payload_bytes, std::uint32_t sequence = 1001) {
+    FlowPacket packet = packetOf(port);
+    packet.sequence = sequence;
+    packet.acknowledged = acknowledged;
+    packet.payload_bytes = payload_bytes;
+    observer.onContinuation(packet, backend);
+  }
+  std::size_t count(BackendId backend) const { return observer.requestsInFlight().count(backend); }
+
+  ManualTimeSource time;
+  FlowObserver observer{FlowObserverSettings{65536}, time};
+};
+
+TEST_CASE("a request counts from the opening until its answer", "[requests_in_flight]") {
+  ObserverHarness harness;
+  harness.open(5000, kFirst);
+  CHECK(harness.count(kFirst) == 1);
+  harness.send(5000, kFirst, 1, 0);
+  harness.send(5000, kFirst, 1, 100);
+  CHECK(harness.count(kFirst) == 1);
+  harness.send(5000, kFirst, 600, 0, 1101);
+  CHECK(harness.count(kFirst) == 0);
+  harness.send(5000, kFirst, 600, 100, 1101);
+  CHECK(harness.count(kFirst) == 1);
+  CHECK(harness.count(kSecond) == 0);
+}
+
+TEST_CASE("copies and resent data count once", "[requests_in_flight]") {
+  ObserverHarness harness;
+  harness.open(5000, kFirst);
+  harness.open(5000, kFirst);
+  harness.send(5000, kFirst, 1, 100);
+  harness.send(5000, kFirst, 1, 100);
+  CHECK(harness.count(kFirst) == 1);
+}
+
+TEST_CASE("a copy of an opening that goes elsewhere counts there only", "[requests_in_flight]") {
+  ObserverHarness harness;
+  harness.open(5000, kFirst);
+  harness.open(5000, kSecond);
+  CHECK(harness.count(kFirst) == 0);
+  CHECK(harness.count(kSecond) == 1);
+}
+
+TEST_CASE("a flow that comes from another node counts from its next request",
+          "[requests_in_flight]") {
+  ObserverHarness harness;
+  harness.send(5000, kFirst, 900, 0);
+  CHECK(harness.count(kFirst) == 0);
+  harness.send(5001, kFirst, 900, 100);
+  CHECK(harness.count(kFirst) == 1);
+}
+
+TEST_CASE("a flow that ends no longer counts", "[requests_in_flight]") {
+  ObserverHarness harness;
+  harness.open(5000, kFirst);
+  harness.observer.forget(packetOf(5000).flow());
+  CHECK(harness.count(kFirst) == 0);
+}
+
+TEST_CASE("a request whose end is never seen stops counting", "[requests_in_flight]") {
+  ObserverHarness harness;
+  SECTION("an opening without an answer") {
+    harness.open(5000, kFirst);
+    harness.time.elapsed += milliseconds(201);
+  }
+  SECTION("a request without an answer") {
+    harness.open(5000, kFirst);
+    harness.send(5000, kFirst, 1, 100);
+    harness.time.elapsed += milliseconds(900);
+    CHECK(harness.count(kFirst) == 1);
+    harness.time.elapsed += milliseconds(101);
+  }
+  CHECK(harness.count(kFirst) == 0);
+}
+
+TEST_CASE("the count of a back end is bounded", "[requests_in_flight]") {
+  ObserverHarness harness;
+  for (std::uint16_t port = 1; port <= 1000; ++port) {
+    harness.open(port, kFirst);
+  }
+  CHECK(harness.count(kFirst) == 64);
+}
+
+}  // namespace
+}  // namespace lugfork
