--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -36,9 +36,19 @@
       router_(decider_, silence_, observer_, tokens_, sender, *this, log),
       follower_(layout.prefix, settings_.follower, source, scheduler, time_source, random, *this) {
   decider_.setCompactTokens(&tokens_);
-  placement_.setSuspicion(&silence_);
-  placement_.setSpeed(&response_times_);
-  placement_.setRequestsInFlight(&observer_.requestsInFlight());
+  connectObservations();
+}
+
+void PacketNode::connectObservations() {
+  if (settings_.uses.pass_over_suspects) {
+    placement_.setSuspicion(&silence_);
+  }
+  if (settings_.uses.weigh_by_speed) {
+    placement_.setSpeed(&response_times_);
+  }
+  if (settings_.uses.count_in_flight) {
+    placement_.setRequestsInFlight(&observer_.requestsInFlight());
+  }
 }
 
 void PacketNode::start() {
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -10,6 +10,18 @@
 
 namespace lugfork {
 
+/** What a balancer makes of what it observes in packets; each can be switched off to measure it. */
+struct ObservationUses {
+  /** Back ends that do not seem to answer get no new flows. */
+  bool pass_over_suspects = true;
+  /** Open flows of back ends that are surely dead are reset. */
+  bool reset_dead = true;
+  /** Back ends that answer slowly get fewer new flows. */
+  bool weigh_by_speed = true;
+  /** Load is estimated by requests in flight. */
+  bool count_in_flight = true;
+};
+
 /** Who this balancer is and how it behaves. */
 struct PacketNodeSettings {
   std::string name;
@@ -23,6 +35,7 @@
   Duration apply_delay = milliseconds(5);
   FlowDeciderSettings decider;
   PlacementSettings placement;
+  ObservationUses uses;
   SilenceSettings silence;
   ResponseTimeSettings response_times;
   LoadEstimateSettings load;
@@ -92,6 +105,7 @@
   void onBackendDraining(BackendId) override {}
   bool viewIsFresh() const override;
   bool backendsAreSettled() const override;
+  bool resetsDeadFlows() const override { return settings_.uses.reset_dead; }
   ViewStamp viewStamp() const override;
   void onHandshake(Duration duration) override;
   void onResponse(BackendId backend, Duration duration) override;
@@ -102,6 +116,7 @@
   void onSourceLost(SourceError cause) override;
   void onSourceRegained(Duration lost_for) override;
 
+  void connectObservations();
   void onChange(const ItemChange& change);
   void onDeletion(const Item& item);
 
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -135,7 +135,7 @@
 }
 
 bool PacketRouter::isSurelyGone(const FlowPacket& packet, const Backend& backend) const {
-  return packet.payload_bytes > 0 && silence_.isDead(backend.id);
+  return packet.payload_bytes > 0 && host_.resetsDeadFlows() && silence_.isDead(backend.id);
 }
 
 void PacketRouter::reset(const FlowPacket& packet, Reason reason) {
--- a/src/flow/packet_router.h
+++ b/src/flow/packet_router.h
@@ -41,6 +41,9 @@
    */
   virtual bool backendsAreSettled() const = 0;
 
+  /** @return true where open flows of a back end that is surely dead are to be reset. */
+  virtual bool resetsDeadFlows() const = 0;
+
   /** @return which state of the platform this node knows, for logs. */
   virtual ViewStamp viewStamp() const = 0;
 
--- a/tests/flow/packet_router_test.cc
+++ b/tests/flow/packet_router_test.cc
@@ -34,6 +34,7 @@
   void onBackendDraining(BackendId) override {}
   bool viewIsFresh() const override { return fresh; }
   bool backendsAreSettled() const override { return settled; }
+  bool resetsDeadFlows() const override { return true; }
   ViewStamp viewStamp() const override { return {12, milliseconds(30)}; }
   void onHandshake(Duration duration) override { handshakes.push_back(duration); }
   void onResponse(BackendId, Duration duration) override { responses.push_back(duration); }
