--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -31,6 +31,7 @@
   const Backend& backend = *decision.value().backend;
   ++counters_.openings;
   counters_.reopenings += silent == BackendId() ? 0 : 1;
+  const std::size_t in_flight = observer_.requestsInFlight().count(backend.id);
   observer_.onPlaced(packet, backend.id);
   silence_.onOpening(backend.id);
   sender_.forwardPacket(backend, tokens_.encode(packet.flow(), backend.id));
@@ -42,6 +43,7 @@
               {"backend_address", toString(backend.address)},
               {"backend_id", backend.id.value()},
               {"service", decision.value().service->name},
+              {"in_flight", static_cast<std::uint64_t>(in_flight)},
               {"passed_over", silent == BackendId() ? 0U : silent.value()},
               {"revision", view.revision},
               {"view_age_ms", toMilliseconds(view.age)}});
--- a/tests/balancer/packet_node_test.cc
+++ b/tests/balancer/packet_node_test.cc
@@ -1,6 +1,8 @@
 #include "balancer/packet_node.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "discovery/discovery_fixture.h"
 
@@ -32,7 +34,8 @@
 };
 
 struct PacketNodeHarness : PacketSender {
-  PacketNodeHarness() {
+  explicit PacketNodeHarness(const PacketNodeSettings& settings = PacketNodeSettings())
+      : node(settings, {kPrefix, decoder}, source, *this, scheduler, time, *random, log) {
     node.setCompletionCallback([this] { ++completions; });
     node.start();
   }
@@ -67,8 +70,7 @@
   NullEventLog log;
   FakeDecoder decoder;
   std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
-  PacketNode node{
-      PacketNodeSettings(), {kPrefix, decoder}, source, *this, scheduler, time, *random, log};
+  PacketNode node;
   std::vector<std::string> forwarded;
   int resets = 0;
   int completions = 0;
@@ -164,6 +166,48 @@
   CHECK(harness.forwarded == std::vector<std::string>{"backends/a"});
 }
 
+TEST_CASE("flows spread evenly where requests in flight are counted, and by chance where not",
+          "[packet_node]") {
+  PacketNodeSettings settings;
+  settings.uses.count_in_flight = GENERATE(true, false);
+  PacketNodeHarness harness(settings);
+  harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server"),
+                item("backends/b", 4, "server"), item("backends/c", 5, "server"),
+                item("backends/d", 6, "server")});
+  std::map<std::string, int> flows;
+  for (std::uint16_t port = 1; port <= 40; ++port) {
+    harness.scheduler.advance(milliseconds(30));
+    harness.open(port);
+    ++flows[harness.forwarded.back()];
+  }
+  const bool is_even = std::all_of(flows.begin(), flows.end(), [](const auto& entry) {
+    return entry.second >= 9 && entry.second <= 11;
+  });
+  CHECK(is_even == settings.uses.count_in_flight);
+}
+
+TEST_CASE("suspects get new flows where they are not to be passed over", "[packet_node]") {
+  PacketNodeSettings settings;
+  settings.uses.pass_over_suspects = GENERATE(true, false);
+  settings.uses.count_in_flight = false;
+  PacketNodeHarness harness(settings);
+  harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server"),
+                item("backends/b", 4, "server"), item("backends/c", 5, "server")});
+  harness.open(5000);
+  const std::string silent = harness.forwarded.back();
+  harness.scheduler.advance(milliseconds(300));
+  harness.forwarded.clear();
+  for (std::uint16_t port = 1; port <= 60; ++port) {
+    FlowPacket packet;
+    packet.caller = {kCaller.address, port};
+    packet.service = kListen;
+    packet.opens = true;
+    harness.node.onPacket(packet);
+  }
+  const auto to_silent = std::count(harness.forwarded.begin(), harness.forwarded.end(), silent);
+  CHECK((to_silent == 0) == settings.uses.pass_over_suspects);
+}
+
 TEST_CASE("a leaving node is not ready and still serves", "[packet_node]") {
   PacketNodeHarness harness;
   harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server")});
