Soak of real balancers on loopback under random faults, checked from outside

SEED=.. runs it; promise_monitor_test shows each check fail on clients and servers that break its promise, and that one seed gives one plan. Not in it: reset or one-way cut TCP connections by a proxy, clocks, reordered or delayed datagrams.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # make demo: install, build, serve requests through separate processes on loopback.
 # make test: install, build, run all tests.
 # make soak SEEDS=A..B: random storms of both users in the simulator; fails on a broken promise.
-.PHONY: demo test soak build packages format format-check lint clean
+# make soak-processes SECONDS=60 SEED=1: real balancers on loopback under random faults.
+.PHONY: demo test soak soak-processes build packages format format-check lint clean
 
 build: packages
 	cmake --preset release > /dev/null
@@ -21,6 +22,11 @@
 	build/lugfork-sim run --scenario scenarios/radio.toml --seeds $(SEEDS) --each-seed
 	build/lugfork-sim run --scenario scenarios/veroapu.toml --seeds $(SEEDS) --each-seed
 
+SECONDS ?= 60
+SEED ?= 1
+soak-processes: build
+	SOAK_SECONDS=$(SECONDS) SOAK_SEED=$(SEED) build/soak_tests "[soak]"
+
 format:
 	git ls-files '*.cc' '*.h' | xargs clang-format -i
 
--- a/tests/platform/packetd_fixture.h
+++ b/tests/platform/packetd_fixture.h
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <optional>
 #include <thread>
 
 #include "platform/store_standin.h"
@@ -52,6 +53,8 @@
              sizeof(name));
   }
 
+  int descriptor() const { return socket_; }
+
   Bytes receive() {
     Bytes bytes(2048);
     const auto size = ::recv(socket_, bytes.data(), bytes.size(), 0);
@@ -93,6 +96,8 @@
     std::uint32_t address = kLoopback;
     /** The same for all balancers; 0 to follow nobody. */
     std::uint16_t news_port = 0;
+    /** Where callers' packets come; unset for any free port. */
+    Endpoint packet_address;
   };
 
   explicit Packetd(Endpoint store, const std::vector<Endpoint>& seeds = {})
@@ -100,8 +105,7 @@
 
   Packetd(Endpoint store, const std::vector<Endpoint>& seeds, const PeerSettings& peers)
       : ready_{kLoopback, freeTcpPort()}, control_{peers.address, freeTcpPort()} {
-    TestSocket probe;
-    packet_ = probe.address();
+    packet_ = peers.packet_address.isSet() ? peers.packet_address : TestSocket().address();
     std::string settings = "name = \"n\"\nzone = \"lac\"\ntoken-key = \"" + kKey +
                            "\"\nstore = \"" + toString(store) + "\"\npacket-address = \"" +
                            toString(packet_) + "\"\nready-address = \"" + toString(ready_) +
@@ -145,8 +149,16 @@
   int wait() {
     int status = 0;
     ::waitpid(pid_, &status, 0);
-    pid_ = 0;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return onEnd(status);
+  }
+
+  /** @return what wait() would, or nothing while the process runs. */
+  std::optional<int> tryWait() {
+    int status = 0;
+    if (::waitpid(pid_, &status, WNOHANG) != pid_) {
+      return std::nullopt;
+    }
+    return onEnd(status);
   }
 
   int readyStatus() const {
@@ -194,6 +206,11 @@
   const std::string& settingsFile() const { return settings_file_; }
 
  private:
+  int onEnd(int status) {
+    pid_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
   Endpoint ready_;
   Endpoint control_;
   Endpoint packet_;
--- /dev/null
+++ b/tests/platform/soak/fault_plan.cc
@@ -0,0 +1,86 @@
+#include "platform/soak/fault_plan.h"
+
+#include <algorithm>
+#include <memory>
+
+#include "common/random_generator.h"
+
+namespace lugfork::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kMostTogether = 3;
+constexpr std::uint64_t kShortestPauseMs = 1500;
+constexpr std::uint64_t kPauseSpreadMs = 8000;
+constexpr std::uint64_t kShortestFaultMs = 300;
+constexpr std::uint64_t kFaultSpreadMs = 4000;
+constexpr std::uint64_t kTogetherSpreadMs = 400;
+constexpr std::uint64_t kTargets = 1000;
+
+}  // namespace
+
+const char* toString(FaultKind kind) {
+  switch (kind) {
+    case FaultKind::KillNode:
+      return "kill_node";
+    case FaultKind::KillAllNodes:
+      return "kill_all_nodes";
+    case FaultKind::PauseNode:
+      return "pause_node";
+    case FaultKind::StopNode:
+      return "stop_node";
+    case FaultKind::ReloadNode:
+      return "reload_node";
+    case FaultKind::StoreUnavailable:
+      return "store_unavailable";
+    case FaultKind::StoreThrottled:
+      return "store_throttled";
+    case FaultKind::StoreCutsAnswers:
+      return "store_cuts_answers";
+    case FaultKind::StoreForgets:
+      return "store_forgets";
+    case FaultKind::StoreLosesEntries:
+      return "store_loses_entries";
+    case FaultKind::CrashServer:
+      return "crash_server";
+    case FaultKind::PauseServer:
+      return "pause_server";
+    case FaultKind::ReplaceServer:
+      return "replace_server";
+    case FaultKind::MoveRoute:
+      return "move_route";
+    case FaultKind::LosePackets:
+      return "lose_packets";
+  }
+  return "unknown";
+}
+
+std::vector<Fault> drawFaults(std::uint64_t seed, milliseconds length) {
+  const std::unique_ptr<RandomGenerator> random = makeSeededRandom(seed);
+  const auto below = [&](std::uint64_t bound) {
+    return static_cast<std::uint32_t>(random->below(bound));
+  };
+  std::vector<Fault> faults;
+  milliseconds at{kShortestPauseMs};
+  while (at < length) {
+    milliseconds end = at;
+    const std::uint32_t together = 1 + below(kMostTogether);
+    for (std::uint32_t count = 0; count < together; ++count) {
+      Fault fault;
+      fault.kind = static_cast<FaultKind>(below(static_cast<std::uint64_t>(FaultKind::Last) + 1));
+      fault.at = at + milliseconds(below(kTogetherSpreadMs));
+      fault.duration = milliseconds(kShortestFaultMs + below(kFaultSpreadMs));
+      fault.target = below(kTargets);
+      end = std::max(end, fault.at + fault.duration);
+      faults.push_back(fault);
+    }
+    at = end + milliseconds(kShortestPauseMs + below(kPauseSpreadMs));
+  }
+  std::stable_sort(faults.begin(), faults.end(),
+                   [](const Fault& left, const Fault& right) { return left.at < right.at; });
+  return faults;
+}
+
+}  // namespace lugfork::soak
--- /dev/null
+++ b/tests/platform/soak/fault_plan.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lugfork::soak {
+
+enum class FaultKind {
+  KillNode,
+  KillAllNodes,
+  PauseNode,
+  StopNode,
+  ReloadNode,
+  StoreUnavailable,
+  StoreThrottled,
+  StoreCutsAnswers,
+  StoreForgets,
+  StoreLosesEntries,
+  CrashServer,
+  PauseServer,
+  ReplaceServer,
+  MoveRoute,
+  LosePackets,
+  Last = LosePackets,
+};
+
+/** Stable name of a kind of fault, for reports. */
+const char* toString(FaultKind kind);
+
+/** One fault of a run. */
+struct Fault {
+  FaultKind kind = FaultKind::KillNode;
+  /** Time from the run's start. */
+  std::chrono::milliseconds at{};
+  std::chrono::milliseconds duration{};
+  /** Which node or server, as a number that is taken modulo how many there are. */
+  std::uint32_t target = 0;
+};
+
+/**
+ * Draws the faults of a run: one to three together, with pauses in which bounds in time can be
+ * judged.
+ * @return the same faults for the same seed and length, in the order of their times.
+ */
+std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds length);
+
+}  // namespace lugfork::soak
--- /dev/null
+++ b/tests/platform/soak/packet_client.h
@@ -0,0 +1,210 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "common/random_generator.h"
+#include "platform/soak/packet_server.h"
+
+namespace lugfork::soak {
+
+/** Callers behind one address: each opens a flow, asks some requests on it, and closes it. */
+class PacketClient {
+ public:
+  /** Sends a packet through whatever balancer the routers pick. */
+  using Route = std::function<void(const EndPacket& packet)>;
+
+  PacketClient(std::uint32_t address, RandomGenerator& random, PromiseMonitor& monitor,
+               PacketServer::SentTimes& sent_times, Route route)
+      : address_(address),
+        random_(random),
+        monitor_(monitor),
+        sent_times_(sent_times),
+        route_(std::move(route)) {}
+
+  std::size_t asked() const { return asked_; }
+  std::size_t served() const { return served_; }
+
+  /** Opens a flow to a route whose requests go to that service. */
+  void open(Endpoint route, const std::string& service) {
+    const Endpoint source{address_, next_port_};
+    next_port_ = next_port_ == kLastPort ? kFirstPort : static_cast<std::uint16_t>(next_port_ + 1);
+    Flow flow;
+    flow.source = source;
+    flow.route = route;
+    flow.service = service;
+    flow.requests_left = 1 + static_cast<int>(random_.below(kMostRequests));
+    flow.step_at = SoakClock::now();
+    sent_times_[{source, route}] = flow.step_at;
+    flows_[source.port] = flow;
+    sendOpening(flows_[source.port]);
+  }
+
+  void onPacket(const EndPacket& packet) {
+    const auto found = flows_.find(packet.destination.port);
+    if (found == flows_.end() || found->second.route != packet.source) {
+      return;
+    }
+    Flow& flow = found->second;
+    if (packet.has(EndPacket::kReset)) {
+      onReset(flow, packet);
+      finish(found);
+    } else if (packet.has(EndPacket::kSyn)) {
+      onOpened(flow, packet);
+    } else if (!packet.data.empty()) {
+      onAnswer(flow, packet);
+    }
+  }
+
+  /** Sends again what is due, and gives up what is over. */
+  void tick(SoakTime now) {
+    for (auto entry = flows_.begin(); entry != flows_.end();) {
+      const auto current = entry++;
+      Flow& flow = current->second;
+      const auto waited = now - flow.step_at;
+      if (flow.state == State::Pausing && waited > kPause) {
+        sendNext(current);
+      } else if (flow.state != State::Pausing && waited > kGiveUp) {
+        finish(current);
+      } else if (flow.state != State::Pausing && flow.copies < kCopies.size() &&
+                 waited > kCopies[flow.copies]) {
+        ++flow.copies;
+        resend(flow);
+      }
+    }
+  }
+
+  /** Tells which server each open flow is at, by what the first packets of it said. */
+  void setServerNames(std::function<std::string(std::uint32_t echo, Endpoint source)> names) {
+    names_ = std::move(names);
+  }
+
+ private:
+  enum class State { Opening, Asking, Pausing };
+
+  struct Flow {
+    Endpoint source;
+    Endpoint route;
+    std::string service;
+    State state = State::Opening;
+    std::uint32_t echo = 0;
+    std::uint32_t next_of_ours = kFirstSequence + 1;
+    std::uint32_t next_from_server = 0;
+    RequestId request = 0;
+    int requests_left = 1;
+    std::size_t copies = 0;
+    SoakTime step_at;
+  };
+  using Flows = std::map<std::uint16_t, Flow>;
+
+  static constexpr std::uint16_t kFirstPort = 10000;
+  static constexpr std::uint16_t kLastPort = 60000;
+  static constexpr std::uint32_t kFirstSequence = 1000;
+  static constexpr std::uint64_t kMostRequests = 8;
+  static constexpr std::chrono::milliseconds kPause{300};
+  static constexpr std::chrono::milliseconds kGiveUp{3000};
+  static constexpr std::array<std::chrono::milliseconds, 3> kCopies{
+      std::chrono::milliseconds(200), std::chrono::milliseconds(600),
+      std::chrono::milliseconds(1400)};
+
+  void sendOpening(const Flow& flow) {
+    send(flow, EndPacket::kSyn, kFirstSequence, static_cast<std::uint32_t>(flow.copies), "");
+  }
+
+  void onOpened(Flow& flow, const EndPacket& packet) {
+    if (flow.state != State::Opening) {
+      return;
+    }
+    flow.echo = packet.echo;
+    flow.next_from_server = packet.sequence + 1;
+    ask(flow);
+  }
+
+  void ask(Flow& flow) {
+    flow.state = State::Asking;
+    flow.request = next_request_++;
+    flow.copies = 0;
+    flow.step_at = SoakClock::now();
+    --flow.requests_left;
+    ++asked_;
+    monitor_.onAsked(flow.request, flow.service);
+    resend(flow);
+  }
+
+  void onAnswer(Flow& flow, const EndPacket& packet) {
+    flow.echo = packet.echo;
+    if (flow.state != State::Asking || packet.sequence != flow.next_from_server) {
+      return;
+    }
+    monitor_.onAnswer(flow.request, std::stoull(packet.data));
+    ++served_;
+    flow.next_of_ours += static_cast<std::uint32_t>(packet.data.size());
+    flow.next_from_server += static_cast<std::uint32_t>(packet.data.size());
+    flow.state = State::Pausing;
+    flow.step_at = SoakClock::now();
+    send(flow, EndPacket::kAck, flow.next_of_ours, flow.next_from_server, "");
+  }
+
+  void onReset(const Flow& flow, const EndPacket& packet) {
+    const bool is_open = flow.state != State::Opening;
+    if (is_open && packet.sum == 0 && names_) {
+      monitor_.onForeignReset(toString(flow.source), names_(flow.echo, flow.source),
+                              SoakClock::now());
+    }
+  }
+
+  void sendNext(Flows::iterator entry) {
+    if (entry->second.requests_left > 0) {
+      ask(entry->second);
+    } else {
+      finish(entry);
+    }
+  }
+
+  void finish(Flows::iterator entry) {
+    const Flow& flow = entry->second;
+    if (flow.state != State::Opening) {
+      send(flow, EndPacket::kFin | EndPacket::kAck, flow.next_of_ours, flow.next_from_server, "");
+    }
+    sent_times_.erase({flow.source, flow.route});
+    flows_.erase(entry);
+  }
+
+  void resend(const Flow& flow) {
+    if (flow.state == State::Opening) {
+      sendOpening(flow);
+    } else {
+      send(flow, EndPacket::kAck, flow.next_of_ours, flow.next_from_server,
+           std::to_string(flow.request));
+    }
+  }
+
+  void send(const Flow& flow, std::uint8_t flags, std::uint32_t sequence,
+            std::uint32_t acknowledged, const std::string& data) {
+    EndPacket packet;
+    packet.source = flow.source;
+    packet.destination = flow.route;
+    packet.echo = flow.echo;
+    packet.sequence = sequence;
+    packet.acknowledged = acknowledged;
+    packet.flags = flags;
+    packet.sum = 1;
+    packet.data = data;
+    route_(packet);
+  }
+
+  const std::uint32_t address_;
+  RandomGenerator& random_;
+  PromiseMonitor& monitor_;
+  PacketServer::SentTimes& sent_times_;
+  Route route_;
+  std::function<std::string(std::uint32_t, Endpoint)> names_;
+  Flows flows_;
+  std::uint16_t next_port_ = kFirstPort;
+  RequestId next_request_ = 1000000;
+  std::size_t asked_ = 0;
+  std::size_t served_ = 0;
+};
+
+}  // namespace lugfork::soak
--- /dev/null
+++ b/tests/platform/soak/packetd_soak.cc
@@ -0,0 +1,48 @@
+/** make soak-processes: real balancers on loopback under random faults, for SECONDS, from SEED on.
+ */
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+#include "platform/soak/soak_world.h"
+
+namespace lugfork::soak {
+namespace {
+
+constexpr std::chrono::seconds kRunLength{40};
+
+std::uint64_t numberFrom(const char* variable, std::uint64_t otherwise) {
+  const char* text = std::getenv(variable);
+  return text == nullptr || *text == '\0' ? otherwise : std::stoull(text);
+}
+
+void report(std::uint64_t seed, const SoakWorld& world) {
+  std::printf("seed %llu: asked %zu, served %zu;", static_cast<unsigned long long>(seed),
+              world.client().asked(), world.client().served());
+  for (int number = 0; number <= static_cast<int>(Promise::Last); ++number) {
+    const auto promise = static_cast<Promise>(number);
+    std::printf(" %s %zu", toString(promise), world.monitor().checks(promise));
+  }
+  std::printf("; %zu breaches\n", world.monitor().breaches().size());
+  for (const Breach& breach : world.monitor().breaches()) {
+    std::printf("  BREACH %s: %s\n", toString(breach.promise), breach.text.c_str());
+  }
+  std::fflush(stdout);
+}
+
+TEST_CASE("balancers keep their promises under random faults", "[.][soak]") {
+  const auto end = SoakClock::now() + std::chrono::seconds(numberFrom("SOAK_SECONDS", 60));
+  std::uint64_t seed = numberFrom("SOAK_SEED", 1);
+  std::size_t failed_seeds = 0;
+  do {
+    SoakWorld world(seed);
+    world.run(drawFaults(seed, kRunLength), kRunLength);
+    report(seed, world);
+    failed_seeds += world.monitor().breaches().empty() ? 0 : 1;
+    ++seed;
+  } while (SoakClock::now() < end);
+  CHECK(failed_seeds == 0);
+}
+
+}  // namespace
+}  // namespace lugfork::soak
--- /dev/null
+++ b/tests/platform/soak/promise_monitor.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/ids.h"
+
+/** What the promises of the users' page forbid, judged by what clients and servers see. */
+namespace lugfork::soak {
+
+using SoakClock = std::chrono::steady_clock;
+using SoakTime = SoakClock::time_point;
+using RequestId = std::uint64_t;
+
+/** Bounds of the promises. */
+struct PromiseBounds {
+  /** A leaving server gets nothing new after this. */
+  std::chrono::milliseconds drain{3000};
+  /** A configuration is in force after this. */
+  std::chrono::milliseconds configuration{3000};
+  /** Bounds in time hold only where nothing was disturbed for this long. */
+  std::chrono::milliseconds contact{4000};
+  /** What a busy machine may add to a bound: processes here share the processor with others. */
+  std::chrono::milliseconds slack{1500};
+};
+
+enum class Promise {
+  OwnAnswer,
+  AskedRequestsOnly,
+  AtMostOnce,
+  OwnService,
+  LivingFlowsHold,
+  LeavingServersGetNothingNew,
+  ConfigurationInForce,
+  PlannedStopEndsWell,
+  ServesAgain,
+  Last = ServesAgain,
+};
+
+/** Stable name of a promise, for reports. */
+const char* toString(Promise promise);
+
+/** One broken promise. */
+struct Breach {
+  Promise promise = Promise::OwnAnswer;
+  std::string text;
+};
+
+/** Takes what clients and servers see and keeps the breaches. */
+class PromiseMonitor {
+ public:
+  explicit PromiseMonitor(PromiseBounds bounds) : bounds_(bounds) {}
+
+  /** A client sends a request for the first time; an empty service stands for any. */
+  void onAsked(RequestId request, const std::string& service);
+
+  /** A server runs a request. */
+  void onRun(RequestId request, const std::string& service, const std::string& server);
+
+  /** A client gets an answer to one request on a flow on which it waits for another, or the same.
+   */
+  void onAnswer(RequestId waiting_for, RequestId answered);
+
+  /** A client gets a reset that is not its server's own on an open flow. */
+  void onForeignReset(const std::string& flow, const std::string& server, SoakTime now);
+
+  /** A server gets the opening of a flow that was sent then. */
+  void onOpening(const std::string& server, const std::string& service, Endpoint route,
+                 SoakTime sent_at, SoakTime now);
+
+  /** The store has taken the word that a server leaves, or its entry's end. */
+  void onLeaving(const std::string& server, SoakTime now);
+
+  /** The store has taken a configuration by which a route goes to a service. */
+  void onRouteMoved(Endpoint route, const std::string& service, SoakTime now);
+
+  /** A process, the store, a link or a server is disturbed until then. */
+  void onDisturbed(SoakTime until);
+  void onServerDisturbed(const std::string& server, SoakTime until);
+
+  /** A balancer that was asked to stop ended with that exit code. */
+  void onPlannedStop(const std::string& node, int exit_code);
+
+  /** In the quiet time after all faults so many of the asked requests were served. */
+  void onQuietTime(std::size_t asked, std::size_t served);
+
+  const std::vector<Breach>& breaches() const { return breaches_; }
+  std::size_t checks(Promise promise) const;
+
+ private:
+  struct Asked {
+    std::string service;
+    int runs = 0;
+  };
+  struct Moved {
+    std::string service;
+    SoakTime at;
+  };
+
+  bool isUndisturbed(SoakTime since) const { return disturbed_until_ + bounds_.contact < since; }
+  void check(Promise promise, bool kept, const std::string& text);
+
+  const PromiseBounds bounds_;
+  std::map<RequestId, Asked> asked_;
+  std::map<std::string, SoakTime> leaving_;
+  std::map<Endpoint, Moved> routes_;
+  std::map<std::string, SoakTime> servers_disturbed_until_;
+  SoakTime disturbed_until_;
+  std::map<Promise, std::size_t> checks_;
+  std::vector<Breach> breaches_;
+};
+
+}  // namespace lugfork::soak
--- /dev/null
+++ b/tests/platform/soak/promise_monitor_test.cc
@@ -0,0 +1,109 @@
+/** Each check of the soak is seen to fail on clients and servers that break its promise. */
+
+#include "platform/soak/promise_monitor.h"
+
+#include <catch2/catch.hpp>
+
+#include "platform/soak/fault_plan.h"
+
+namespace lugfork::soak {
+namespace {
+
+using std::chrono::seconds;
+
+const Endpoint kRoute{0xc6120001, 8443};
+const SoakTime kStart = SoakTime(seconds(1000));
+
+struct MonitorHarness {
+  MonitorHarness() { monitor.onAsked(1, "a"); }
+  bool broke(Promise promise) const {
+    return monitor.breaches().size() == 1 && monitor.breaches()[0].promise == promise;
+  }
+  PromiseMonitor monitor{PromiseBounds()};
+};
+
+TEST_CASE("what is as it should be breaks nothing", "[soak_monitor]") {
+  MonitorHarness harness;
+  PromiseMonitor& monitor = harness.monitor;
+  monitor.onRun(1, "a", "s1");
+  monitor.onAnswer(1, 1);
+  monitor.onLeaving("s1", kStart);
+  monitor.onOpening("s1", "a", kRoute, kStart, kStart + seconds(1));
+  monitor.onRouteMoved(kRoute, "b", kStart);
+  monitor.onOpening("s2", "b", kRoute, kStart + seconds(9), kStart + seconds(9));
+  monitor.onPlannedStop("n", 0);
+  monitor.onQuietTime(100, 100);
+  CHECK(monitor.breaches().empty());
+}
+
+TEST_CASE("each broken promise is found", "[soak_monitor]") {
+  MonitorHarness harness;
+  PromiseMonitor& monitor = harness.monitor;
+  SECTION("another request's answer") {
+    monitor.onAnswer(1, 2);
+    CHECK(harness.broke(Promise::OwnAnswer));
+  }
+  SECTION("a request that nobody asked") {
+    monitor.onRun(2, "a", "s1");
+    CHECK(harness.broke(Promise::AskedRequestsOnly));
+  }
+  SECTION("a second run") {
+    monitor.onRun(1, "a", "s1");
+    monitor.onRun(1, "a", "s2");
+    CHECK(harness.broke(Promise::AtMostOnce));
+  }
+  SECTION("another service") {
+    monitor.onRun(1, "b", "s1");
+    CHECK(harness.broke(Promise::OwnService));
+  }
+  SECTION("a reset of a living server's flow") {
+    monitor.onForeignReset("flow", "s1", kStart);
+    CHECK(harness.broke(Promise::LivingFlowsHold));
+  }
+  SECTION("a new flow on a leaving server") {
+    monitor.onLeaving("s1", kStart);
+    monitor.onOpening("s1", "a", kRoute, kStart + seconds(5), kStart + seconds(5));
+    CHECK(harness.broke(Promise::LeavingServersGetNothingNew));
+  }
+  SECTION("an old configuration") {
+    monitor.onRouteMoved(kRoute, "b", kStart);
+    monitor.onOpening("s1", "a", kRoute, kStart + seconds(5), kStart + seconds(5));
+    CHECK(harness.broke(Promise::ConfigurationInForce));
+  }
+  SECTION("a planned stop that ends badly") {
+    monitor.onPlannedStop("n", -1);
+    CHECK(harness.broke(Promise::PlannedStopEndsWell));
+  }
+  SECTION("no service after all faults") {
+    monitor.onQuietTime(100, 24);
+    CHECK(harness.broke(Promise::ServesAgain));
+  }
+}
+
+TEST_CASE("bounds in time are judged only where nothing was disturbed", "[soak_monitor]") {
+  MonitorHarness harness;
+  PromiseMonitor& monitor = harness.monitor;
+  monitor.onDisturbed(kStart);
+  monitor.onLeaving("s1", kStart + seconds(1));
+  monitor.onOpening("s1", "a", kRoute, kStart + seconds(7), kStart + seconds(7));
+  monitor.onForeignReset("flow", "s2", kStart + seconds(3));
+  monitor.onServerDisturbed("s3", kStart + seconds(18));
+  monitor.onForeignReset("flow", "s3", kStart + seconds(20));
+  CHECK(monitor.breaches().empty());
+}
+
+TEST_CASE("one seed gives one plan of faults, another seed another", "[soak_monitor]") {
+  const auto plan = [](std::uint64_t seed) {
+    std::string text;
+    for (const Fault& fault : drawFaults(seed, seconds(60))) {
+      text += std::string(toString(fault.kind)) + std::to_string(fault.at.count()) + ":" +
+              std::to_string(fault.duration.count()) + ":" + std::to_string(fault.target) + " ";
+    }
+    return text;
+  };
+  CHECK(plan(7) == plan(7));
+  CHECK(plan(7) != plan(8));
+}
+
+}  // namespace
+}  // namespace lugfork::soak
