Forget requests in flight at back ends that are gone; compile the platform tests again

Found on reading the change: RequestsInFlight kept an entry for each back end that ever had a request unanswered, without bound under churn. PacketNode now retains those of the configuration, as the other observations do; test 'requests at back ends that are gone are forgotten' (does not compile before).

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -177,6 +177,7 @@
   const ConfigurationViewPtr configuration = registry_.makeConfiguration();
   silence_.retain(*configuration);
   response_times_.retain(*configuration);
+  observer_.retain(*configuration);
   decider_.setConfiguration(configuration);
   // The operator's first routes may come after the first full read.
   if (isComplete() && on_complete_) {
--- a/src/flow/flow_observer.h
+++ b/src/flow/flow_observer.h
@@ -83,6 +83,9 @@
   /** @return the requests that went through this node and wait for their answer. */
   const RequestsInFlight& requestsInFlight() const { return in_flight_; }
 
+  /** Forgets requests in flight at back ends that are not known any more. */
+  void retain(const ConfigurationView& configuration) { in_flight_.retain(configuration); }
+
   /** Forgets a flow. */
   void forget(const FlowId& flow);
 
--- a/src/flow/requests_in_flight.cc
+++ b/src/flow/requests_in_flight.cc
@@ -44,4 +44,9 @@
                     [&](const Request& request) { return request.counts_until > now; }));
 }
 
+void RequestsInFlight::retain(const ConfigurationView& configuration) {
+  std::erase_if(requests_,
+                [&](const auto& entry) { return configuration.backend(entry.first) == nullptr; });
+}
+
 }  // namespace lugfork
--- a/src/flow/requests_in_flight.h
+++ b/src/flow/requests_in_flight.h
@@ -5,6 +5,7 @@
 
 #include "common/ids.h"
 #include "common/time_source.h"
+#include "config/configuration.h"
 
 namespace lugfork {
 
@@ -29,6 +30,12 @@
   /** @return the requests that count now. */
   std::size_t count(BackendId backend) const;
 
+  /** Forgets back ends that are not known any more. */
+  void retain(const ConfigurationView& configuration);
+
+  /** @return the back ends that are remembered. */
+  std::size_t backends() const { return requests_.size(); }
+
  private:
   struct Request {
     FlowId flow;
--- a/tests/flow/requests_in_flight_test.cc
+++ b/tests/flow/requests_in_flight_test.cc
@@ -103,6 +103,15 @@
   CHECK(harness.count(kFirst) == 0);
 }
 
+TEST_CASE("requests at back ends that are gone are forgotten", "[requests_in_flight]") {
+  ObserverHarness harness;
+  harness.open(5000, kFirst);
+  harness.open(5001, BackendId{99});
+  harness.observer.retain(*viewOf(twoServices()));
+  CHECK(harness.count(kFirst) == 1);
+  CHECK(harness.observer.requestsInFlight().backends() == 1);
+}
+
 TEST_CASE("the count of a back end is bounded", "[requests_in_flight]") {
   ObserverHarness harness;
   for (std::uint16_t port = 1; port <= 1000; ++port) {
--- a/tests/platform/packetd_fixture.h
+++ b/tests/platform/packetd_fixture.h
@@ -97,7 +97,7 @@
     /** The same for all balancers; 0 to follow nobody. */
     std::uint16_t news_port = 0;
     /** Where callers' packets come; unset for any free port. */
-    Endpoint packet_address;
+    Endpoint packet_address = {};
   };
 
   explicit Packetd(Endpoint store, const std::vector<Endpoint>& seeds = {})
