Hand whole views on as they come; blame no balancer where all are silent

And a balancer that was cut off put all its upstreams into quarantine for 30 s, took itself for a watcher and called the store every second.

Change: an arrived view is handed on as it came; a poll in which all are silent blames nobody.

--- a/src/discovery/upstream_poller.cc
+++ b/src/discovery/upstream_poller.cc
@@ -25,6 +25,7 @@
   const std::size_t limit = std::min(poll->candidates.size(), settings_.max_asked);
   if (poll->asked == limit) {
     // The next poll begins with those that were not asked.
+    judgeSilence(*poll);
     preferred_ = limit == 0 ? Endpoint() : poll->candidates[limit % poll->candidates.size()];
     poll->callback(poll->best);
     return;
@@ -40,13 +41,15 @@
                               const Result<PeerView, PeerRefusal>& answer) {
   if (!answer) {
     if (answer.error().cause == SourceError::NoAnswer) {
-      directory_.onFailed(upstream);
+      poll->silent.push_back(upstream);
     } else {
+      poll->was_answered = true;
       directory_.onUnavailable(upstream);
     }
     askNext(poll);
     return;
   }
+  poll->was_answered = true;
   directory_.onAlive(upstream);
   const PeerView& view = answer.value();
   const bool is_newer = !poll->best.view || view.status.age_ms < poll->best.view->status.age_ms;
@@ -56,10 +59,21 @@
   }
   if (poll->best.is_fresh) {
     preferred_ = upstream;
+    judgeSilence(*poll);
     poll->callback(poll->best);
     return;
   }
   askNext(poll);
 }
 
+void UpstreamPoller::judgeSilence(const Poll& poll) {
+  const bool own_path_is_broken = !poll.was_answered && poll.silent.size() > 1;
+  if (own_path_is_broken) {
+    return;
+  }
+  for (const Endpoint& upstream : poll.silent) {
+    directory_.onFailed(upstream);
+  }
+}
+
 }  // namespace lugfork
--- a/src/discovery/upstream_poller.h
+++ b/src/discovery/upstream_poller.h
@@ -41,6 +41,8 @@
   struct Poll {
     std::vector<Endpoint> candidates;
     std::size_t asked = 0;
+    std::vector<Endpoint> silent;
+    bool was_answered = false;
     Revision after = 0;
     PollResult best;
     Callback callback;
@@ -50,6 +52,8 @@
   void askNext(const PollPtr& poll);
   void onAnswer(const PollPtr& poll, Endpoint upstream,
                 const Result<PeerView, PeerRefusal>& answer);
+  /** Blames who was silent, unless all were: then this balancer's own path is broken. */
+  void judgeSilence(const Poll& poll);
 
   const UpstreamPollSettings settings_;
   PeerDirectory& directory_;
--- a/src/discovery/view_assembly.h
+++ b/src/discovery/view_assembly.h
@@ -22,6 +22,7 @@
   /** @return the status that came with the newest part. */
   const ViewStatus& status() const { return status_; }
   const Bytes& body() const { return body_; }
+  Bytes takeBody() { return std::move(body_); }
 
  private:
   void begin(const ViewPart& part);
--- a/src/discovery/view_client.cc
+++ b/src/discovery/view_client.cc
@@ -69,7 +69,8 @@
 
 void ViewClient::finish(PendingView& pending) {
   const ViewStatus status = pending.assembly.status();
-  auto body = decodeViewBody(pending.assembly.body());
+  Bytes bytes = pending.assembly.takeBody();
+  auto body = decodeViewBody(bytes);
   const ViewCallback callback = std::move(pending.callback);
   views_.erase(pending.request.request);
   if (!body) {
@@ -78,6 +79,9 @@
     return;
   }
   ViewBody& content = body.value();
+  if (content.is_whole && on_whole_view_) {
+    on_whole_view_(std::move(bytes), status, content.at);
+  }
   callback(PeerView{status, std::move(content.changes), content.at, content.is_whole,
                     std::move(content.peers)});
 }
--- a/src/discovery/view_client.h
+++ b/src/discovery/view_client.h
@@ -37,6 +37,10 @@
   void readView(Endpoint peer, Revision after, Duration patience, ViewCallback callback) override;
   void exchangePeers(Endpoint peer, PeersCallback callback) override;
 
+  /** Gets each whole view as it was told, before this balancer has made it its own. */
+  using BodyCallback = std::function<void(Bytes body, const ViewStatus& status, Revision at)>;
+  void setWholeViewCallback(BodyCallback callback) { on_whole_view_ = std::move(callback); }
+
   void onPart(const ViewPart& part, Endpoint from);
   void onRefusal(const ViewRefusal& refusal, Endpoint from);
   void onPeersReply(const PeersReply& reply, Endpoint from);
@@ -79,6 +83,7 @@
   RandomGenerator& random_;
   std::unordered_map<std::uint64_t, PendingView> views_;
   std::unordered_map<std::uint64_t, PendingExchange> exchanges_;
+  BodyCallback on_whole_view_;
   std::uint64_t malformed_bodies_ = 0;
 };
 
--- a/src/discovery/view_provider.cc
+++ b/src/discovery/view_provider.cc
@@ -29,7 +29,9 @@
   if (shows_view) {
     directory_.onShowsView(request.from);
   }
-  if (!owner_.viewStatus().serves_view) {
+  // An adopted view has no history: changes can only be told of the own one.
+  const bool can_answer = shows_view ? owner_.viewStatus().serves_view : status().serves_view;
+  if (!can_answer) {
     if (shows_view) {
       referQueue();
     }
@@ -45,6 +47,33 @@
 }
 
 void ViewProvider::onViewReady() {
+  adopted_.reset();
+  answerQueue();
+}
+
+void ViewProvider::adopt(Bytes body, const ViewStatus& status, Revision at) {
+  if (owner_.viewStatus().serves_view) {
+    return;
+  }
+  adopted_ = status;
+  whole_body_.hash = hashOfBody(body);
+  whole_body_.bytes = std::move(body);
+  whole_body_.is_whole = true;
+  whole_body_at_ = at;
+  whole_body_made_at_ = time_source_.monotonicTime();
+  answerQueue();
+}
+
+ViewStatus ViewProvider::status() const {
+  if (!adopted_) {
+    return owner_.viewStatus();
+  }
+  ViewStatus current = *adopted_;
+  current.age_ms += toWireMilliseconds(time_source_.monotonicTime() - whole_body_made_at_);
+  return current;
+}
+
+void ViewProvider::answerQueue() {
   const MonotonicTime now = time_source_.monotonicTime();
   for (const Queued& queued : std::exchange(queue_, {})) {
     if (now - queued.since <= settings_.queue_lifetime) {
@@ -62,13 +91,13 @@
     queue_.push_back({request, reply_to, time_source_.monotonicTime()});
     ++counters_.queued;
   }
-  send_(reply_to, ViewRefusal{request.request, owner_.viewStatus(), is_queued, others});
+  send_(reply_to, ViewRefusal{request.request, status(), is_queued, others});
 }
 
 void ViewProvider::referQueue() {
   const std::vector<Endpoint> others = directory_.withView(kReferralsInQueue);
   for (const Queued& queued : std::exchange(queue_, {})) {
-    send_(queued.reply_to, ViewRefusal{queued.request.request, owner_.viewStatus(), false, others});
+    send_(queued.reply_to, ViewRefusal{queued.request.request, status(), false, others});
   }
 }
 
@@ -103,6 +132,9 @@
 }
 
 const ViewProvider::Body& ViewProvider::wholeBody() {
+  if (adopted_) {
+    return whole_body_;
+  }
   const ItemView& view = owner_.view();
   const MonotonicTime now = time_source_.monotonicTime();
   const bool is_old = now - whole_body_made_at_ > settings_.body_lifetime;
@@ -125,7 +157,7 @@
   const bool is_same_body = request.body_hash == body.hash;
   const std::uint32_t first = is_same_body ? request.first_part : 0;
   const std::uint32_t mask = is_same_body ? request.parts : kAllParts;
-  const ViewStatus status = owner_.viewStatus();
+  const ViewStatus current = status();
   for (std::uint32_t offset = 0; offset < kPartsInRequest; ++offset) {
     const std::uint64_t part = std::uint64_t{first} + offset;
     if ((mask >> offset & 1U) == 0 || part >= partCount(body_bytes)) {
@@ -134,7 +166,7 @@
     const auto begin = body.bytes.begin() + static_cast<std::ptrdiff_t>(part * kPartBytes);
     const auto left = static_cast<std::size_t>(body.bytes.end() - begin);
     const auto end = begin + static_cast<std::ptrdiff_t>(std::min<std::size_t>(kPartBytes, left));
-    send_(reply_to, ViewPart{request.request, status, body.hash, body_bytes,
+    send_(reply_to, ViewPart{request.request, current, body.hash, body_bytes,
                              static_cast<std::uint32_t>(part), Bytes(begin, end)});
     addToBacklog(static_cast<std::size_t>(end - begin));
   }
@@ -143,7 +175,7 @@
 void ViewProvider::refer(const ViewRequest& request, Endpoint reply_to) {
   forgetReferrals();
   ++counters_.referred;
-  ViewRefusal refusal{request.request, owner_.viewStatus(), false, {}};
+  ViewRefusal refusal{request.request, status(), false, {}};
   for (std::size_t count = 0; count < referrals_.size(); ++count) {
     const Endpoint balancer = referrals_[next_referral_++ % referrals_.size()].balancer;
     if (balancer != request.from) {
--- a/src/discovery/view_provider.h
+++ b/src/discovery/view_provider.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 
 #include "discovery/item_view.h"
 #include "discovery/peer_directory.h"
@@ -67,6 +68,12 @@
   /** The view can be handed out from now on: queued requests are answered. */
   void onViewReady();
 
+  /**
+   * Another balancer's whole view has come. While there is no own one it is handed on as it is, at
+   * once: to take it in first would cost each level of the tree some tens of milliseconds.
+   */
+  void adopt(Bytes body, const ViewStatus& status, Revision at);
+
   const ViewProviderCounters& counters() const { return counters_; }
 
  private:
@@ -86,6 +93,9 @@
     bool is_whole = false;
   };
 
+  /** @return the own view's status, or that of an adopted one. */
+  ViewStatus status() const;
+  void answerQueue();
   void enqueue(const ViewRequest& request, Endpoint reply_to);
   /** Another balancer has a view already: those that wait are sent there. */
   void referQueue();
@@ -113,6 +123,8 @@
   Body whole_body_;
   Revision whole_body_at_ = 0;
   MonotonicTime whole_body_made_at_;
+  /** Set while an adopted view is handed on. */
+  std::optional<ViewStatus> adopted_;
   ViewProviderCounters counters_;
 };
 
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -105,6 +105,9 @@
   peer_socket_->setReceivers(view_client_.get(), provider_.get());
   peer_exchange_ = std::make_unique<PeerExchange>(settings_.peer_exchange, directory_,
                                                   *view_client_, scheduler_, *random_);
+  view_client_->setWholeViewCallback([this](Bytes body, const ViewStatus& status, Revision at) {
+    provider_->adopt(std::move(body), status, at);
+  });
   node_.setCaughtUpCallback([this] { provider_->onViewReady(); });
 }
 
--- a/tests/discovery/fleet_start_test.cc
+++ b/tests/discovery/fleet_start_test.cc
@@ -165,6 +165,9 @@
   }
 
   void start() {
+    client.setWholeViewCallback([this](Bytes body, const ViewStatus& status, Revision at) {
+      provider.adopt(std::move(body), status, at);
+    });
     started_at = fleet.time.monotonicTime();
     has_started = true;
     follower.start();
--- a/tests/discovery/upstream_poller_test.cc
+++ b/tests/discovery/upstream_poller_test.cc
@@ -73,6 +73,16 @@
   CHECK(harness.directory.ranked() == std::vector<Endpoint>{balancer(2)});
 }
 
+TEST_CASE("a balancer to which all are silent blames nobody", "[upstream_poller]") {
+  PollHarness harness;
+  for (std::uint32_t number = 1; number <= 4; ++number) {
+    harness.directory.onAlive(balancer(number));
+  }
+  harness.poll();
+  CHECK_FALSE(harness.result->view.has_value());
+  CHECK(harness.directory.ranked().size() == 4);
+}
+
 TEST_CASE("without a candidate nothing is found", "[upstream_poller]") {
   PollHarness harness;
   std::optional<PollResult> result;
--- a/tests/discovery/view_provider_test.cc
+++ b/tests/discovery/view_provider_test.cc
@@ -158,6 +158,40 @@
   CHECK(std::get<ViewRefusal>(harness.takeSent(9).front()).is_queued);
 }
 
+TEST_CASE("another balancer's view is handed on as it came while there is no own one",
+          "[view_provider]") {
+  ProviderHarness harness;
+  harness.serves = false;
+  harness.ask(7);
+  harness.takeSent(7);
+  const ViewBody other{{written("other", 30)}, 30, true, {}};
+  harness.provider.adopt(encodeViewBody(other), {30, 200, true}, 30);
+  const ViewBody body = harness.bodyFor(7);
+  CHECK(body.at == 30);
+  harness.ask(8);
+  CHECK(harness.bodyFor(8).at == 30);
+  SECTION("its age grows, and it has no changes to tell") {
+    harness.time.elapsed += milliseconds(500);
+    harness.ask(8);
+    CHECK(std::get<ViewPart>(harness.takeSent(8).front()).status.age_ms == 700);
+    harness.ask(9, 20);
+    CHECK(std::holds_alternative<ViewRefusal>(harness.takeSent(9).front()));
+  }
+  SECTION("the own view takes its place") {
+    harness.serves = true;
+    harness.provider.onViewReady();
+    harness.ask(9);
+    CHECK(harness.bodyFor(9).at == 10);
+  }
+  SECTION("none is adopted where there is an own one") {
+    harness.serves = true;
+    harness.provider.onViewReady();
+    harness.provider.adopt(encodeViewBody(other), {30, 200, true}, 30);
+    harness.ask(9);
+    CHECK(harness.bodyFor(9).at == 10);
+  }
+}
+
 TEST_CASE("the queue is bounded", "[view_provider]") {
   ProviderHarness harness;
   harness.serves = false;
