--- a/src/discovery/view_provider.cc
+++ b/src/discovery/view_provider.cc
@@ -10,8 +10,6 @@
 constexpr std::uint64_t kMicrosecondsPerSecond = 1'000'000;
 /** Balancers with a view to which those that wait for this one's are sent. */
 constexpr std::size_t kReferralsInQueue = 2;
-/** Bodies up to this many parts are always sent: to refer who asks would cost as much. */
-constexpr std::uint32_t kSmallBodyParts = 2;
 
 }  // namespace
 
--- a/src/wire/record_codec.cc
+++ b/src/wire/record_codec.cc
@@ -9,7 +9,7 @@
 constexpr char kFormVersion = 1;
 
 /** Bounds of what a record may hold; a larger one is no record of ours. */
-constexpr std::size_t kMaxRecordBytes = 1024 * 1024;
+constexpr std::size_t kMaxRecordBytes = std::size_t{1024} * 1024;
 
 /** Order of the kinds on the wire: a new kind comes last. */
 using CompactRecord = std::variant<IrrelevantItem, ServerRecord, RouteTable, RecordProblem>;
--- a/tests/discovery/upstream_poller_test.cc
+++ b/tests/discovery/upstream_poller_test.cc
@@ -68,7 +68,7 @@
   harness.peers.refuses(balancer(2), SourceError::Unavailable);
   harness.poll();
   CHECK_FALSE(harness.result->view.has_value());
-  CHECK(harness.directory.ranked().size() == 0);
+  CHECK(harness.directory.ranked().empty());
   harness.time.elapsed += seconds(3);
   CHECK(harness.directory.ranked() == std::vector<Endpoint>{balancer(2)});
 }
--- a/tests/runtime/udp_peer_socket_test.cc
+++ b/tests/runtime/udp_peer_socket_test.cc
@@ -99,11 +99,12 @@
 TEST_CASE("a view of many parts comes whole", "[udp_peer_socket]") {
   PeerHarness harness;
   const auto asked = harness.make(kAsked);
-  asked->fill(100 * kPartBytes);
+  constexpr std::size_t kBytes = std::size_t{100} * kPartBytes;
+  asked->fill(kBytes);
   harness.ask(0);
   REQUIRE(*harness.answer);
   REQUIRE(harness.answer->value().changes.size() == 1);
-  CHECK(harness.answer->value().changes[0].item.value.size() == 100 * kPartBytes);
+  CHECK(harness.answer->value().changes[0].item.value.size() == kBytes);
 }
 
 TEST_CASE("a balancer without a view answers as soon as it has one", "[udp_peer_socket]") {
