Keep the history of changes across full reads; refuse changes that are not known

In the logs of one zone (trial) 54 of 67 balancers left their upstreams for the store from 2 to 16 s, "no upstream has a fresh view", while the store forgot its history: after each full read of a watcher all its followers were sent the whole view, 22 KB to some 60 balancers over 20 Mbit/s, and the watcher fell silent under it. The same after each restart of a watcher.

Ruled out: the store's own silence (only 38 of 82 balancers ever saw a failed call).

Change: what a full read finds deleted counts as deleted at its revision, so that followers get differences; the 1,024 newest deletions are remembered. A watcher that began later than the asked revision refuses, and the poller goes on to the next one.

--- a/src/discovery/item_view.cc
+++ b/src/discovery/item_view.cc
@@ -1,18 +1,28 @@
 #include "discovery/item_view.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lugfork {
 
+namespace {
+
+/** Deletions remembered: more than a release of a thousand servers makes (chosen). */
+constexpr std::size_t kMaxDeletions = 1024;
+
+}  // namespace
+
 bool ItemView::apply(const ItemChange& change) {
   Known& known = known_[change.item.key];
   if (change.item.revision <= known.item.revision) {
     return false;
   }
-  by_revision_.erase(known.item.revision);
+  unindex(known);
   known = {change.item, change.deleted};
-  by_revision_[change.item.revision] = &known;
+  by_revision_.emplace(change.item.revision, &known);
+  deletions_ += change.deleted ? 1 : 0;
   newest_ = std::max(newest_, change.item.revision);
+  forgetOldDeletions();
   return true;
 }
 
@@ -39,22 +49,19 @@
 std::vector<ItemChange> ItemView::finishFullRead() {
   const Revision at = fullReadRevision();
   std::vector<ItemChange> deletions;
-  for (auto entry = known_.begin(); entry != known_.end();) {
-    auto& [key, known] = *entry;
+  for (const auto& [key, known] : known_) {
     const bool covered = known.item.revision <= at;
-    if (covered && known.deleted) {
-      entry = erase(entry);
-      continue;
-    }
-    if (covered && !shown_.contains(key)) {
-      known.deleted = true;
-      known.item.value.clear();
-      deletions.push_back({known.item, true});
+    if (covered && !known.deleted && !shown_.contains(key)) {
+      deletions.push_back(
+          {{key, "", std::max(at, known.item.revision + 1), known.item.created}, true});
     }
-    ++entry;
+  }
+  for (const ItemChange& deletion : deletions) {
+    apply(deletion);
   }
   shown_.clear();
-  history_from_ = std::max(history_from_, at);
+  const bool is_first = !std::exchange(has_full_read_, true);
+  history_from_ = is_first ? std::max(history_from_, at) : history_from_;
   return deletions;
 }
 
@@ -90,9 +97,30 @@
   return changes;
 }
 
-ItemView::KnownItems::iterator ItemView::erase(KnownItems::iterator entry) {
-  by_revision_.erase(entry->second.item.revision);
-  return known_.erase(entry);
+void ItemView::unindex(const Known& known) {
+  const auto [first, last] = by_revision_.equal_range(known.item.revision);
+  const auto found =
+      std::find_if(first, last, [&](const auto& entry) { return entry.second == &known; });
+  if (found != last) {
+    by_revision_.erase(found);
+    deletions_ -= known.deleted ? 1 : 0;
+  }
+}
+
+void ItemView::forgetOldDeletions() {
+  auto entry = by_revision_.begin();
+  while (deletions_ > kMaxDeletions && entry != by_revision_.end()) {
+    const Known& known = *entry->second;
+    if (!known.deleted) {
+      ++entry;
+      continue;
+    }
+    history_from_ = std::max(history_from_, known.item.revision);
+    entry = by_revision_.erase(entry);
+    --deletions_;
+    const std::string key = known.item.key;
+    known_.erase(key);
+  }
 }
 
 }  // namespace lugfork
--- a/src/discovery/item_view.h
+++ b/src/discovery/item_view.h
@@ -28,7 +28,9 @@
   std::vector<ItemChange> applyPage(const ItemPage& page);
 
   /**
-   * Ends a full read: keys that it did not show and that were not written since are deleted.
+   * Ends a full read: keys that it did not show and that were not written since are deleted. Since
+   * nobody tells when, they count as deleted at the read's revision; so what has changed since an
+   * earlier revision is known across a full read, and followers need no whole view for it.
    * @return the deletions.
    */
   std::vector<ItemChange> finishFullRead();
@@ -59,18 +61,21 @@
   };
   using KnownItems = std::map<std::string, Known>;
 
-  /** Forgets an item. @return the next one. */
-  KnownItems::iterator erase(KnownItems::iterator entry);
+  void unindex(const Known& known);
+  /** Forgets the oldest deletions beyond a limit, and with them the history before. */
+  void forgetOldDeletions();
 
   KnownItems known_;
   /** What is known, in the order of its last changes; elements of the map stay where they are. */
-  std::map<Revision, const Known*> by_revision_;
+  std::multimap<Revision, const Known*> by_revision_;
+  std::size_t deletions_ = 0;
   std::unordered_set<std::string> shown_;
   std::optional<Revision> full_read_at_;
   Revision newest_ = 0;
   Revision position_ = 0;
   /** Deletions up to here may be unknown. */
   Revision history_from_ = 0;
+  bool has_full_read_ = false;
 };
 
 }  // namespace lugfork
--- a/src/discovery/upstream_source.cc
+++ b/src/discovery/upstream_source.cc
@@ -46,14 +46,6 @@
     readStore(request, std::move(callback));
     return;
   }
-  if (whole_view_) {
-    const PeerView view = *std::exchange(whole_view_, std::nullopt);
-    scheduler_.callAfter(Duration::zero(), [this, view, callback = std::move(callback)] {
-      caught_up_ = true;
-      callback(toPage(view));
-    });
-    return;
-  }
   const bool knows_fleet = !directory_.recent().empty();
   const auto first = knows_fleet ? selector_.upstreams() : std::vector<Endpoint>();
   first_view_->read(
@@ -72,9 +64,6 @@
   if (peers_ == nullptr) {
     return true;
   }
-  if (whole_view_) {
-    return false;
-  }
   const bool knows_fleet = !directory_.recent().empty();
   if (knows_fleet) {
     return selector_.upstreams().empty();
@@ -277,7 +266,7 @@
   const PeerView& view = *result.view;
   counters_.polls_with_changes += view.changes.empty() ? 0 : 1;
   if (view.is_whole) {
-    whole_view_ = view;
+    // Not asked for; the read that follows asks for it.
     callback(SourceError::HistoryGone);
     return;
   }
--- a/src/discovery/upstream_source.h
+++ b/src/discovery/upstream_source.h
@@ -155,8 +155,6 @@
   Endpoint upstream_balancer_;
   /** A watch of the store, or a whole view, has shown what came since the last full read. */
   bool caught_up_ = false;
-  /** A whole view that came in place of changes; the next read takes it. */
-  std::optional<PeerView> whole_view_;
   bool store_failing_ = false;
   SourceError last_store_error_ = SourceError::NoAnswer;
   MonotonicTime store_tried_at_;
--- a/src/discovery/view_provider.cc
+++ b/src/discovery/view_provider.cc
@@ -105,7 +105,12 @@
     refer(request, reply_to);
     return;
   }
-  const Body body = bodyAfter(request.after);
+  const auto found = bodyAfter(request.after);
+  if (!found) {
+    refuseChanges(request, reply_to);
+    return;
+  }
+  const Body& body = *found;
   if (!continues) {
     ++(body.is_whole ? counters_.whole_views : counters_.changes);
   }
@@ -115,13 +120,20 @@
   }
 }
 
-ViewProvider::Body ViewProvider::bodyAfter(Revision after) {
+void ViewProvider::refuseChanges(const ViewRequest& request, Endpoint reply_to) {
+  ++counters_.history_unknown;
+  ViewStatus nothing = status();
+  nothing.serves_view = false;
+  send_(reply_to, ViewRefusal{request.request, nothing, false, {}});
+}
+
+std::optional<ViewProvider::Body> ViewProvider::bodyAfter(Revision after) {
   if (after == 0) {
     return wholeBody();
   }
   auto known = owner_.view().changesAfter(after);
   if (!known) {
-    return wholeBody();
+    return std::nullopt;
   }
   Body body;
   body.bytes = encodeViewBody({std::move(known->changes), std::max(after, known->at), false, {}});
--- a/src/discovery/view_provider.h
+++ b/src/discovery/view_provider.h
@@ -46,6 +46,7 @@
   std::uint64_t changes = 0;
   std::uint64_t referred = 0;
   std::uint64_t queued = 0;
+  std::uint64_t history_unknown = 0;
   std::uint64_t bytes = 0;
 };
 
@@ -100,7 +101,12 @@
   /** Another balancer has a view already: those that wait are sent there. */
   void referQueue();
   void answer(const ViewRequest& request, Endpoint reply_to);
-  Body bodyAfter(Revision after);
+  /**
+   * @return the whole view for revision 0, else what has changed since; nothing where that is not
+   * known: this balancer began later, and the whole view for each follower would fill its link.
+   */
+  std::optional<Body> bodyAfter(Revision after);
+  void refuseChanges(const ViewRequest& request, Endpoint reply_to);
   const Body& wholeBody();
   void sendParts(const ViewRequest& request, const Body& body, Endpoint reply_to);
   void refer(const ViewRequest& request, Endpoint reply_to);
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -95,6 +95,8 @@
              {{"answer", "referred"}});
   addCounter(registry, "lugfork_view_requests_total", help, counters.queued,
              {{"answer", "queued"}});
+  addCounter(registry, "lugfork_view_requests_total", help, counters.history_unknown,
+             {{"answer", "history_unknown"}});
   addCounter(registry, "lugfork_view_sent_bytes_total", "Bytes of views and changes sent.",
              counters.bytes);
 }
--- a/tests/discovery/item_view_test.cc
+++ b/tests/discovery/item_view_test.cc
@@ -49,5 +49,49 @@
   CHECK(view.changesAfter(10).has_value());
 }
 
+/** Else each lost history would cost every follower a whole view. */
+TEST_CASE("changes from before a later full read are known, deletions that it found included",
+          "[item_view]") {
+  ItemView view = viewOfThree();
+  view.apply(written("c", 12));
+  view.apply(deleted("b", 13));
+  view.setPosition(13);
+  view.startFullRead();
+  view.applyPage({{item("c", 12), item("d", 18)}, false, 20});
+  const auto deletions = view.finishFullRead();
+  REQUIRE(deletions.size() == 1);
+  CHECK(deletions[0].item.key == "a");
+  view.setPosition(20);
+  const auto changes = view.changesAfter(11);
+  REQUIRE(changes.has_value());
+  REQUIRE(changes->changes.size() == 4);
+  CHECK(changes->changes[0].item.key == "c");
+  CHECK(changes->changes[1].item.key == "b");
+  CHECK(changes->changes[1].deleted);
+  CHECK(changes->changes[2].item.key == "d");
+  CHECK(changes->changes[3].item.key == "a");
+  CHECK(changes->changes[3].deleted);
+  CHECK(changes->changes[3].item.revision == 20);
+  // A server that comes back under the same key is newer.
+  CHECK(view.apply(written("a", 21)));
+  CHECK(view.page("", 10).items.size() == 3);
+}
+
+TEST_CASE("the oldest deletions are forgotten, and the history before them", "[item_view]") {
+  ItemView view = viewOfThree();
+  Revision revision = 10;
+  for (int server = 0; server < 3000; ++server) {
+    const std::string key = "server" + std::to_string(server);
+    view.apply(written(key, ++revision));
+    view.apply(deleted(key, ++revision));
+  }
+  view.setPosition(revision);
+  CHECK_FALSE(view.changesAfter(10).has_value());
+  const auto recent = view.changesAfter(revision - 2000);
+  REQUIRE(recent.has_value());
+  CHECK(recent->changes.size() == 1000);
+  CHECK(view.page("", 10).items.size() == 3);
+}
+
 }  // namespace
 }  // namespace lugfork
