--- a/src/discovery/hedged_reads.h
+++ b/src/discovery/hedged_reads.h
@@ -11,7 +11,7 @@
 struct HedgedReadSettings {
   /**
    * Silence after which the same read is sent once more: longer than a slow store takes for an
-   * answer (240 ms were seen), much shorter than the time limit of a call.
+   * answer (4 ms, sixty times slower), much shorter than the time limit of a call.
    */
   Duration hedge_after = milliseconds(300);
   /** Sends of one read at most. */
--- a/src/wire/record_codec.h
+++ b/src/wire/record_codec.h
@@ -5,7 +5,7 @@
 /**
  * Compact form of platform records, in which balancers keep and pass on what the platform tells:
  * one byte for the form's version and a msgpack body. A platform's adapter writes it once; it takes
- * a tenth of the platform's own text.
+ * a small part of the platform's own text.
  */
 namespace lugfork {
 
