Keep new flows out of zones that the operator takes out of service

Change: the adapter decodes them into ZoneOutOfService, which travels in views like every record; the registry leaves such a zone out of the allowed zones of all services, above every fallback of placement. Open flows stay. A log line and a metric tell it. Tests: packetd against the stand-in store (red before), registry, codecs, all zones at once.

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -165,10 +165,15 @@
     registry_.onServer(item.key, *server, item.revision, item.created);
   } else if (const auto* table = std::get_if<RouteTable>(&decoded.value())) {
     registry_.onRoutes(*table, item.revision);
+  } else if (const auto* zone = std::get_if<ZoneOutOfService>(&decoded.value())) {
+    registry_.onZoneOutOfService(item.key, *zone, item.revision);
   }
 }
 
 void PacketNode::onDeletion(const Item& item) {
+  if (registry_.onZoneBackInService(item.key, item.revision)) {
+    return;
+  }
   if (backendsAreSettled()) {
     registry_.onServerGone(item.key, item.revision);
     return;
@@ -208,6 +213,7 @@
   response_times_.retain(*configuration);
   observer_.retain(*configuration);
   decider_.setConfiguration(configuration);
+  zones_out_of_service_ = registry_.zonesOutOfService();
   // The operator's first routes may come after the first full read.
   if (isComplete() && on_complete_) {
     std::exchange(on_complete_, nullptr)();
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -99,6 +99,8 @@
   const PacketCounters& packetCounters() const { return router_.counters(); }
   const PacketNodeCounters& counters() const { return counters_; }
   const ViewFollower& follower() const { return follower_; }
+  /** @return the zones whose servers get no new flow, by the configuration in force. */
+  std::size_t zonesOutOfService() const { return zones_out_of_service_; }
   std::uint64_t routesVersion() const { return registry_.routesVersion(); }
 
  private:
@@ -151,6 +153,7 @@
   std::function<void()> on_caught_up_;
   std::function<void(Duration)> on_handshake_;
   std::function<void(Duration)> on_response_;
+  std::size_t zones_out_of_service_ = 0;
   bool apply_pending_ = false;
   bool retirement_pending_ = false;
   bool leaving_ = false;
--- a/src/discovery/backend_registry.cc
+++ b/src/discovery/backend_registry.cc
@@ -124,6 +124,29 @@
   has_routes_ = true;
 }
 
+void BackendRegistry::onZoneOutOfService(const std::string& key, const ZoneOutOfService& record,
+                                         Revision revision) {
+  if (zones_out_of_service_.insert_or_assign(key, record.zone).second) {
+    log_.write(LogLevel::Info, "discovery", "zone_out_of_service",
+               {{"out_of_service", record.zone}, {"revision", revision}});
+  }
+}
+
+bool BackendRegistry::onZoneBackInService(const std::string& key, Revision revision) {
+  const auto found = zones_out_of_service_.extract(key);
+  if (found.empty()) {
+    return false;
+  }
+  log_.write(LogLevel::Info, "discovery", "zone_back_in_service",
+             {{"back_in_service", found.mapped()}, {"revision", revision}});
+  return true;
+}
+
+bool BackendRegistry::isOutOfService(const std::string& zone) const {
+  return std::any_of(zones_out_of_service_.begin(), zones_out_of_service_.end(),
+                     [&](const auto& entry) { return entry.second == zone; });
+}
+
 BackendRegistry::Summary BackendRegistry::summary() const {
   Summary summary;
   for (const auto& [key, server] : servers_) {
@@ -170,13 +193,17 @@
   for (const RouteRecord& record : routes_.routes) {
     configuration.routes.push_back(makeRoute(record));
   }
-  std::vector<ZoneId> all_zones;
+  // A service's allowed zones stand above every fallback of placement: one that is out of service
+  // gets nothing new even where all other servers are silent or full.
+  std::vector<ZoneId> zones_in_service;
   for (const auto& [name, id] : zone_ids_) {
     configuration.zones.push_back({id, name, ""});
-    all_zones.push_back(id);
+    if (!isOutOfService(name)) {
+      zones_in_service.push_back(id);
+    }
   }
   for (const auto& [name, id] : service_ids_) {
-    configuration.services.push_back({id, name, Endpoint(), all_zones});
+    configuration.services.push_back({id, name, Endpoint(), zones_in_service});
   }
   return std::make_shared<ConfigurationView>(std::move(configuration));
 }
--- a/src/discovery/backend_registry.h
+++ b/src/discovery/backend_registry.h
@@ -40,6 +40,15 @@
   /** Takes the newest routes; an older version than the one in force is ignored. */
   void onRoutes(const RouteTable& table, Revision revision);
 
+  /** Servers of the zone get no new flow until the item with that key is gone. */
+  void onZoneOutOfService(const std::string& key, const ZoneOutOfService& record,
+                          Revision revision);
+
+  /** The item with that key is gone. @return true if it had taken a zone out of service. */
+  bool onZoneBackInService(const std::string& key, Revision revision);
+
+  std::size_t zonesOutOfService() const { return zones_out_of_service_.size(); }
+
   /**
    * While a first view is taken in, servers are not logged one by one; summary() and
    * snapshotLines() tell them all.
@@ -91,6 +100,7 @@
   void reportClash(const Server& left_out, const Server& owner);
   ServiceId serviceIdOf(const std::string& name);
   ZoneId zoneIdOf(const std::string& name);
+  bool isOutOfService(const std::string& zone) const;
   Backend makeBackend(const Server& server);
   Route makeRoute(const RouteRecord& record);
 
@@ -98,6 +108,8 @@
   const TimeSource& time_source_;
   EventLog& log_;
   std::map<std::string, Server> servers_;
+  /** Names of the zones that are out of service, by the keys of their items. */
+  std::map<std::string, std::string> zones_out_of_service_;
   RouteTable routes_;
   bool has_routes_ = false;
   std::map<std::string, ServiceId> service_ids_;
--- a/src/discovery/platform_records.h
+++ b/src/discovery/platform_records.h
@@ -56,6 +56,15 @@
   auto fields() { return std::tie(version, routes); }
 };
 
+/**
+ * The operator has taken a zone out of service, for as long as the item is there: its servers get
+ * no new flow, and open flows stay.
+ */
+struct ZoneOutOfService {
+  std::string zone;
+  auto fields() { return std::tie(zone); }
+};
+
 /** Item of a kind that balancers have no use for. */
 struct IrrelevantItem {
   auto fields() { return std::tie(); }
@@ -67,7 +76,7 @@
   auto fields() { return std::tie(text); }
 };
 
-using PlatformRecord = std::variant<IrrelevantItem, ServerRecord, RouteTable>;
+using PlatformRecord = std::variant<IrrelevantItem, ServerRecord, RouteTable, ZoneOutOfService>;
 
 /**
  * Reads the values of items. Each platform's adapter has one for what the platform writes; within
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -142,6 +142,9 @@
              figures.log_lines_left_out);
   addGauge(registry, "lugfork_routes_version", "Version of the routes in force.",
            static_cast<double>(node.routesVersion()));
+  addGauge(registry, "lugfork_zones_out_of_service",
+           "Zones whose servers get no new flow, as the operator asked; as old as the view.",
+           static_cast<double>(node.zonesOutOfService()));
   addGauge(registry, "lugfork_ready", "1 while callers may be sent here.", node.isReady() ? 1 : 0);
   const prometheus::TextSerializer serializer;
   return serializer.Serialize(registry.Collect()) + serializer.Serialize(histograms_.Collect());
--- a/src/wire/record_codec.cc
+++ b/src/wire/record_codec.cc
@@ -12,7 +12,8 @@
 constexpr std::size_t kMaxRecordBytes = std::size_t{1024} * 1024;
 
 /** Order of the kinds on the wire: a new kind comes last. */
-using CompactRecord = std::variant<IrrelevantItem, ServerRecord, RouteTable, RecordProblem>;
+using CompactRecord =
+    std::variant<IrrelevantItem, ServerRecord, RouteTable, RecordProblem, ZoneOutOfService>;
 
 CompactRecord toCompact(const Result<PlatformRecord, RecordProblem>& record) {
   if (!record) {
@@ -55,6 +56,9 @@
   if (auto* routes = std::get_if<RouteTable>(&decoded.value())) {
     return PlatformRecord(std::move(*routes));
   }
+  if (auto* zone = std::get_if<ZoneOutOfService>(&decoded.value())) {
+    return PlatformRecord(std::move(*zone));
+  }
   if (auto* problem = std::get_if<RecordProblem>(&decoded.value())) {
     return std::move(*problem);
   }
--- a/tests/balancer/packet_node_test.cc
+++ b/tests/balancer/packet_node_test.cc
@@ -11,7 +11,7 @@
 
 const std::string kPrefix = "platform/";
 
-/** Reads items whose value is "route", "server" or broken. */
+/** Reads items whose value is "route", "server", "draining", "zone lac out of service" or broken. */
 class FakeDecoder : public RecordDecoder {
  public:
   Result<PlatformRecord, RecordProblem> decode(const std::string& key,
@@ -29,6 +29,9 @@
       record.state = value == "server" ? ServerState::Ready : ServerState::Draining;
       return PlatformRecord(record);
     }
+    if (value == "zone lac out of service") {
+      return PlatformRecord(ZoneOutOfService{"lac"});
+    }
     return RecordProblem{"broken"};
   }
 };
@@ -156,6 +159,60 @@
   CHECK(harness.resets == 1);
 }
 
+TEST_CASE("with all zones out of service openings are reset at once, until one is back",
+          "[packet_node]") {
+  const std::string key = "zones/lac";
+  const std::string out = "zone lac out of service";
+  PacketNodeHarness harness;
+  std::vector<Item> items = {item("routes/all", 2, "route"), item("backends/a", 3, "server")};
+  SECTION("out of service before the node starts") {
+    items.push_back(item(key, 4, out));
+    harness.read(items);
+    harness.scheduler.advance(seconds(2));
+    harness.source.answerWatch(kPrefix, ItemChanges{{}, 11});
+    harness.scheduler.advance(milliseconds(10));
+  }
+  SECTION("out of service later") {
+    harness.read(items);
+    harness.open(5000);
+    CHECK(harness.forwarded.size() == 1);
+    harness.scheduler.advance(seconds(2));
+    harness.change(written(key, 12, out));
+  }
+  SECTION("out of service, taken back and out of service again") {
+    harness.read(items);
+    harness.scheduler.advance(seconds(2));
+    harness.change(written(key, 12, out));
+    harness.change(deleted(key, 13));
+    harness.open(5000);
+    CHECK(harness.forwarded.size() == 1);
+    harness.change(written(key, 14, out));
+  }
+  harness.forwarded.clear();
+  harness.open(6000);
+  CHECK(harness.forwarded.empty());
+  CHECK(harness.resets == 1);
+  CHECK(harness.node.zonesOutOfService() == 1);
+  harness.change(deleted(key, 20));
+  harness.open(6001);
+  CHECK(harness.forwarded.size() == 1);
+  CHECK(harness.node.zonesOutOfService() == 0);
+}
+
+TEST_CASE("a full read that no longer shows a zone as out of service brings it back",
+          "[packet_node]") {
+  PacketNodeHarness harness;
+  harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server"),
+                item("zones/lac", 4, "zone lac out of service")});
+  CHECK(harness.node.zonesOutOfService() == 1);
+  harness.source.answerWatch(kPrefix, SourceError::HistoryGone);
+  harness.source.answerPage(
+      kPrefix,
+      ItemPage{{item("routes/all", 2, "route"), item("backends/a", 3, "server")}, false, 20});
+  harness.scheduler.advance(milliseconds(10));
+  CHECK(harness.node.zonesOutOfService() == 0);
+}
+
 TEST_CASE("a broken item changes nothing and is counted", "[packet_node]") {
   PacketNodeHarness harness;
   harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server")});
--- a/tests/discovery/backend_registry_test.cc
+++ b/tests/discovery/backend_registry_test.cc
@@ -52,6 +52,27 @@
   CHECK_FALSE(Route{kListen, {}}.serviceFor(5).has_value());
 }
 
+TEST_CASE("a zone out of service is no allowed zone of any service", "[backend_registry]") {
+  RegistryHarness harness;
+  ServerRecord in_ariana = server(2, "listen", addressOf(2));
+  in_ariana.zone = "ariana";
+  harness.registry.onServer("a", server(1, "listen", addressOf(1)), 1, 1);
+  harness.registry.onServer("b", in_ariana, 2, 2);
+  const auto allowed = [&](std::uint64_t incarnation) {
+    const auto view = harness.registry.makeConfiguration();
+    const Backend* backend = harness.find(view, incarnation);
+    return view->service(backend->service)->allowsZone(backend->zone);
+  };
+  harness.registry.onZoneOutOfService("zones/lac", {"lac"}, 3);
+  CHECK_FALSE(allowed(1));
+  CHECK(allowed(2));
+  harness.registry.onZoneOutOfService("zones/unknown", {"nowhere"}, 4);
+  CHECK(allowed(2));
+  CHECK_FALSE(harness.registry.onZoneBackInService("a", 5));
+  CHECK(harness.registry.onZoneBackInService("zones/lac", 6));
+  CHECK(allowed(1));
+}
+
 TEST_CASE("an older version of the routes is ignored", "[backend_registry]") {
   RegistryHarness harness;
   harness.registry.onRoutes({7, {{kListen, {{"listen", 1}}}}}, 10);
--- a/tests/platform/packetd_test.cc
+++ b/tests/platform/packetd_test.cc
@@ -10,9 +10,10 @@
 const std::string kRoutes =
     R"({"version":7,"routes":[{"host":"198.18.0.1","path_prefix":"/443/","service":"s"}]})";
 
-std::string serverEntry(Endpoint address, const std::string& state = "ready") {
-  return R"({"service":"s","address":")" + toString(address) +
-         R"(","zone":"lac","version":"v1","capacity":2,"state":")" + state +
+std::string serverEntry(Endpoint address, const std::string& state = "ready",
+                        const std::string& zone = "lac") {
+  return R"({"service":"s","address":")" + toString(address) + R"(","zone":")" + zone +
+         R"(","version":"v1","capacity":2,"state":")" + state +
          R"(","warmup_left_ms":0,"seq":1})";
 }
 
@@ -84,6 +85,41 @@
   CHECK(server.receive() == expected);
 }
 
+TEST_CASE("a zone out of service gets no new flow and keeps its open ones", "[packetd]") {
+  StoreStandin store;
+  TestSocket in_lac;
+  TestSocket in_ariana;
+  store.put("op/config", kRoutes);
+  store.put("servers/i-0badcafe01", serverEntry(in_lac.address(), "ready", "lac"));
+  Packetd daemon(store.address());
+  daemon.start();
+  REQUIRE(daemon.waitForReady(200));
+  TestSocket client;
+  client.send(daemon.packetAddress(), opening(40001));
+  const Bytes first = in_lac.receive();
+  REQUIRE(first.size() == kPrefixBytes + 32);
+
+  store.put("servers/i-0badcafe02", serverEntry(in_ariana.address(), "ready", "ariana"));
+  store.put("op/evacuate/lac", "{}");
+  REQUIRE(daemon.metricsSay("lugfork_zones_out_of_service 1"));
+  constexpr std::uint16_t kOpenings = 20;
+  for (std::uint16_t port = 41000; port < 41000 + kOpenings; ++port) {
+    client.send(daemon.packetAddress(), opening(port));
+  }
+  for (int count = 0; count < kOpenings; ++count) {
+    CHECK(in_ariana.receive().size() == kPrefixBytes + 32);
+  }
+  Bytes data(first.begin() + kPrefixBytes, first.end());
+  data[kFlagsAt] = 2;
+  client.send(daemon.packetAddress(), data);
+  const Bytes next_in_lac = in_lac.receive();
+  REQUIRE(next_in_lac.size() == kPrefixBytes + 32);
+  CHECK(next_in_lac[kPrefixBytes + kFlagsAt] == 2);
+
+  store.remove("op/evacuate/lac");
+  CHECK(daemon.metricsSay("lugfork_zones_out_of_service 0"));
+}
+
 TEST_CASE("bad input is counted and changes nothing", "[packetd]") {
   StoreStandin store;
   TestSocket server;
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -115,6 +115,16 @@
   CHECK_FALSE(kDecoder.decode("op/config", value));
 }
 
+TEST_CASE("a zone that the operator empties is out of service", "[store_codec]") {
+  const auto record = kDecoder.decode("op/evacuate/lac", "{}");
+  REQUIRE(record);
+  REQUIRE(std::holds_alternative<ZoneOutOfService>(record.value()));
+  CHECK(std::get<ZoneOutOfService>(record.value()).zone == "lac");
+  const auto nameless = kDecoder.decode("op/evacuate/", "{}");
+  REQUIRE(nameless);
+  CHECK(std::holds_alternative<IrrelevantItem>(nameless.value()));
+}
+
 TEST_CASE("keys of other kinds are passed over", "[store_codec]") {
   const auto record = kDecoder.decode("op/other", "not json");
   REQUIRE(record);
--- a/tests/wire/record_codec_test.cc
+++ b/tests/wire/record_codec_test.cc
@@ -57,6 +57,13 @@
   CHECK(problem.error().text == "no address");
 }
 
+TEST_CASE("a zone out of service is read as it was written", "[record_codec]") {
+  const auto record = kDecoder.decode("x", encodeRecord(PlatformRecord(ZoneOutOfService{"lac"})));
+  REQUIRE(record);
+  REQUIRE(std::holds_alternative<ZoneOutOfService>(record.value()));
+  CHECK(std::get<ZoneOutOfService>(record.value()).zone == "lac");
+}
+
 TEST_CASE("a record that is cut, longer or of another form is a problem", "[record_codec]") {
   const std::string good = encodeRecord(PlatformRecord(sampleServer()));
   CHECK_FALSE(kDecoder.decode("a", ""));
