Let the balancers with the fastest links watch the store

Cause: watchers were chosen by rank alone. Change: balancers tell their link (log2 of Mbit/s) with their address; the directory keeps the 16 fastest beside the lowest ranks, and an upstream is better by its link, then its rank. Fleet size is still estimated from the ranks alone. Sites whose links are alike choose as before.

--- a/src/discovery/peer_client.h
+++ b/src/discovery/peer_client.h
@@ -5,6 +5,26 @@
 
 namespace lugfork {
 
+/** Rate of a balancer's own link, as the whole part of its binary logarithm [log2 of Mbit/s]. */
+using LinkClass = std::uint8_t;
+
+/** @return the class of a link; 0 also stands for links that are not known. */
+LinkClass linkClassOf(double megabits_per_second);
+
+/** Another balancer, as balancers tell each other of it. */
+struct KnownPeer {
+  KnownPeer() = default;
+  /** Where nothing is known of the link, it counts as slow. */
+  KnownPeer(Endpoint control_address, LinkClass link_class = 0)
+      : address(control_address), link(link_class) {}
+
+  /** Its control address. */
+  Endpoint address;
+  LinkClass link = 0;
+  auto fields() { return std::tie(address, link); }
+  bool operator==(const KnownPeer&) const = default;
+};
+
 /** How new another balancer's view is. */
 struct ViewStatus {
   /** All changes up to this one are in the view. */
@@ -26,7 +46,7 @@
   /** Nothing is known of the time before: these are all items that exist. */
   bool is_whole = false;
   /** Balancers that the other one knows; only told with a whole view. */
-  std::vector<Endpoint> peers;
+  std::vector<KnownPeer> peers;
 };
 
 /** Why another balancer did not tell its view. */
@@ -43,7 +63,7 @@
   virtual ~PeerClient() = default;
 
   using ViewCallback = std::function<void(Result<PeerView, PeerRefusal>)>;
-  using PeersCallback = std::function<void(Result<std::vector<Endpoint>, SourceError>)>;
+  using PeersCallback = std::function<void(Result<std::vector<KnownPeer>, SourceError>)>;
 
   /**
    * Reads what the peer's view holds beyond a revision.
--- a/src/discovery/peer_directory.cc
+++ b/src/discovery/peer_directory.cc
@@ -20,34 +20,42 @@
   return XXH3_64bits(&content, sizeof(content));
 }
 
-PeerDirectory::PeerDirectory(PeerDirectorySettings settings, Endpoint own_address,
+PeerDirectory::PeerDirectory(PeerDirectorySettings settings, KnownPeer self,
                              std::vector<Endpoint> seeds, const TimeSource& time_source,
                              RandomGenerator& random)
     : settings_(settings),
-      own_address_(own_address),
+      self_(self),
       seeds_(std::move(seeds)),
-      is_seed_(std::find(seeds_.begin(), seeds_.end(), own_address_) != seeds_.end()),
+      is_seed_(std::find(seeds_.begin(), seeds_.end(), self_.address) != seeds_.end()),
       time_source_(time_source),
       random_(random) {
-  std::erase(seeds_, own_address_);
+  std::erase(seeds_, self_.address);
 }
 
 void PeerDirectory::onAlive(Endpoint peer) {
   quarantined_until_.erase(peer);
+  add({peer, linkOf(peer)});
+}
+
+void PeerDirectory::onShown(const KnownPeer& peer) {
+  quarantined_until_.erase(peer.address);
   add(peer);
 }
 
-void PeerDirectory::onTold(const std::vector<Endpoint>& peers) {
-  for (const Endpoint& peer : peers) {
-    // What others tell never refreshes what is known: a dead peer would be told for ever.
-    if (!heard_at_.contains(peer) && !isQuarantined(peer)) {
+void PeerDirectory::onTold(const std::vector<KnownPeer>& peers) {
+  for (const KnownPeer& peer : peers) {
+    const auto known = heard_.find(peer.address);
+    if (known != heard_.end()) {
+      // What others tell never refreshes what is known: a dead peer would be told for ever.
+      known->second.link = std::max(known->second.link, peer.link);
+    } else if (!isQuarantined(peer.address)) {
       add(peer);
     }
   }
 }
 
 void PeerDirectory::onFailed(Endpoint peer) {
-  heard_at_.erase(peer);
+  heard_.erase(peer);
   quarantine(peer, settings_.quarantine);
 }
 
@@ -92,17 +100,26 @@
 std::vector<Endpoint> PeerDirectory::recent() {
   forgetOld();
   std::vector<Endpoint> peers;
-  for (const auto& [peer, heard_at] : heard_at_) {
+  for (const auto& [peer, heard] : heard_) {
     peers.push_back(peer);
   }
   return peers;
 }
 
-std::vector<Endpoint> PeerDirectory::lowestRanks(std::size_t limit) {
+std::vector<KnownPeer> PeerDirectory::toTell(std::size_t limit) {
   std::vector<Endpoint> peers = recent();
-  std::sort(peers.begin(), peers.end(), hasLowerRank);
-  peers.resize(std::min(peers.size(), limit));
-  return peers;
+  std::sort(peers.begin(), peers.end(),
+            [this](Endpoint left, Endpoint right) { return isBetterUpstream(left, right); });
+  std::vector<KnownPeer> told;
+  if (self_.address.isSet()) {
+    told.push_back(self_);
+  }
+  for (const Endpoint& peer : peers) {
+    if (told.size() < limit) {
+      told.push_back({peer, linkOf(peer)});
+    }
+  }
+  return told;
 }
 
 std::vector<Endpoint> PeerDirectory::shuffledSeeds() {
@@ -116,27 +133,48 @@
 std::vector<Endpoint> PeerDirectory::ranked() {
   std::vector<Endpoint> peers = recent();
   for (const Endpoint& seed : seeds_) {
-    if (!heard_at_.contains(seed)) {
+    if (!heard_.contains(seed)) {
       peers.push_back(seed);
     }
   }
   std::erase_if(peers, [this](Endpoint peer) { return isQuarantined(peer); });
-  std::sort(peers.begin(), peers.end(), hasLowerRank);
+  std::sort(peers.begin(), peers.end(),
+            [this](Endpoint left, Endpoint right) { return isBetterUpstream(left, right); });
   return peers;
 }
 
+bool PeerDirectory::isBetterUpstream(Endpoint left, Endpoint right) const {
+  const LinkClass left_link = linkOf(left);
+  const LinkClass right_link = linkOf(right);
+  return left_link == right_link ? hasLowerRank(left, right) : left_link > right_link;
+}
+
+LinkClass PeerDirectory::linkOf(Endpoint peer) const {
+  if (peer == self_.address) {
+    return self_.link;
+  }
+  const auto found = heard_.find(peer);
+  return found == heard_.end() ? LinkClass{0} : found->second.link;
+}
+
 double PeerDirectory::fleetSize() {
   forgetOld();
-  const auto known = static_cast<double>(heard_at_.size());
-  if (heard_at_.size() < settings_.size) {
-    return known + 1;
+  if (heard_.size() < settings_.size) {
+    return static_cast<double>(heard_.size()) + 1;
   }
+  // All peers up to the highest rank that was kept for its rank are known.
+  const std::vector<Endpoint> kept_for_link = fastest();
   PeerRank highest = 1;
-  for (const auto& [peer, heard_at] : heard_at_) {
-    highest = std::max(highest, peerRank(peer));
+  for (const auto& [peer, heard] : heard_) {
+    const bool is_fast =
+        std::find(kept_for_link.begin(), kept_for_link.end(), peer) != kept_for_link.end();
+    highest = is_fast ? highest : std::max(highest, peerRank(peer));
   }
+  const auto known = std::count_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
+    return peerRank(entry.first) <= highest;
+  });
   constexpr auto kAllRanks = static_cast<double>(std::numeric_limits<PeerRank>::max());
-  return known * (kAllRanks / static_cast<double>(highest)) + 1;
+  return static_cast<double>(known) * (kAllRanks / static_cast<double>(highest)) + 1;
 }
 
 bool PeerDirectory::isQuarantined(Endpoint peer) const {
@@ -147,28 +185,49 @@
 void PeerDirectory::forgetOld() {
   const MonotonicTime now = time_source_.monotonicTime();
   std::erase_if(quarantined_until_, [&](const auto& entry) { return now > entry.second; });
-  std::erase_if(heard_at_,
-                [&](const auto& entry) { return now - entry.second > settings_.lifetime; });
+  std::erase_if(heard_,
+                [&](const auto& entry) { return now - entry.second.at > settings_.lifetime; });
   std::erase_if(view_shown_at_,
                 [&](const auto& entry) { return now - entry.second > settings_.view_shown_for; });
 }
 
-void PeerDirectory::add(Endpoint peer) {
-  if (peer == own_address_ || !peer.isSet()) {
+void PeerDirectory::add(const KnownPeer& peer) {
+  if (peer.address == self_.address || !peer.address.isSet()) {
     return;
   }
   forgetOld();
-  heard_at_[peer] = time_source_.monotonicTime();
-  if (heard_at_.size() > settings_.size) {
+  heard_[peer.address] = {time_source_.monotonicTime(), peer.link};
+  if (heard_.size() > settings_.size) {
     evictHighestRank();
   }
 }
 
 void PeerDirectory::evictHighestRank() {
-  const auto highest = std::max_element(
-      heard_at_.begin(), heard_at_.end(),
-      [](const auto& left, const auto& right) { return hasLowerRank(left.first, right.first); });
-  heard_at_.erase(highest);
+  const std::vector<Endpoint> kept_for_link = fastest();
+  auto highest = heard_.end();
+  for (auto entry = heard_.begin(); entry != heard_.end(); ++entry) {
+    const bool is_fast =
+        std::find(kept_for_link.begin(), kept_for_link.end(), entry->first) != kept_for_link.end();
+    const bool is_higher = highest == heard_.end() || hasLowerRank(highest->first, entry->first);
+    highest = !is_fast && is_higher ? entry : highest;
+  }
+  if (highest != heard_.end()) {
+    heard_.erase(highest);
+  }
+}
+
+std::vector<Endpoint> PeerDirectory::fastest() const {
+  std::vector<Endpoint> peers;
+  for (const auto& [peer, heard] : heard_) {
+    peers.push_back(peer);
+  }
+  const std::size_t count = std::min({settings_.fastest, settings_.size / 2, peers.size()});
+  const auto end = peers.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(peers.begin(), end, peers.end(), [this](Endpoint left, Endpoint right) {
+    return isBetterUpstream(left, right);
+  });
+  peers.erase(end, peers.end());
+  return peers;
 }
 
 }  // namespace lugfork
--- a/src/discovery/peer_directory.h
+++ b/src/discovery/peer_directory.h
@@ -4,19 +4,20 @@
 #include <optional>
 #include <vector>
 
-#include "common/ids.h"
 #include "common/random_generator.h"
 #include "common/time_source.h"
+#include "discovery/peer_client.h"
 
 namespace lugfork {
 
 /** Tunables of a PeerDirectory. */
 struct PeerDirectorySettings {
   /**
-   * Peers remembered at most, besides the seeds; those with the lowest ranks are kept. As many as
-   * one datagram tells, which tells the size of a larger fleet to about a tenth.
+   * Peers remembered at most, besides the seeds; those with the fastest links and the lowest ranks
+   * are kept. As many as one datagram tells, which tells the size of a larger fleet to about a
+   * tenth.
    */
-  std::size_t size = 120;
+  std::size_t size = 100;
   /** Time after which a peer that was not heard of is forgotten. */
   Duration lifetime = seconds(60);
   /** Time for which a peer that failed is not taken back on the word of others. */
@@ -25,6 +26,11 @@
   Duration short_quarantine = seconds(2);
   /** Time for which a peer that has shown a view is sure to have it still. */
   Duration view_shown_for = seconds(2);
+  /**
+   * Peers with the fastest links that are remembered whatever their rank: more than watch the store
+   * in a fleet of 2,700.
+   */
+  std::size_t fastest = 16;
 };
 
 /** Position of a balancer in an order that all balancers share without agreement. */
@@ -36,18 +42,21 @@
 /**
  * Addresses of other balancers: the seeds of the settings, which may be old, and those that asked
  * this one or were told by another. Each node knows a few, whatever the size of the fleet. Since
- * the lowest ranks are kept, all nodes come to know the same ones.
+ * the fastest links and the lowest ranks are kept, all nodes come to know the same ones.
  */
 class PeerDirectory {
  public:
-  PeerDirectory(PeerDirectorySettings settings, Endpoint own_address, std::vector<Endpoint> seeds,
+  PeerDirectory(PeerDirectorySettings settings, KnownPeer self, std::vector<Endpoint> seeds,
                 const TimeSource& time_source, RandomGenerator& random);
 
-  /** A peer has shown itself: it asked this node or answered it. */
+  /** A peer has answered this node. */
   void onAlive(Endpoint peer);
 
+  /** A peer has shown itself: it asked this node, and told its link. */
+  void onShown(const KnownPeer& peer);
+
   /** Another node told of these peers. */
-  void onTold(const std::vector<Endpoint>& peers);
+  void onTold(const std::vector<KnownPeer>& peers);
 
   /** A peer did not answer, or not well: it is forgotten and stays in quarantine for a while. */
   void onFailed(Endpoint peer);
@@ -67,8 +76,8 @@
   /** @return the peers heard of lately, to tell others. */
   std::vector<Endpoint> recent();
 
-  /** @return the peers heard of lately that have the lowest ranks, to tell others. */
-  std::vector<Endpoint> lowestRanks(std::size_t limit);
+  /** @return this balancer and the peers heard of lately, the best upstreams first. */
+  std::vector<KnownPeer> toTell(std::size_t limit);
 
   /** @return seeds in a random order, to ask first. */
   std::vector<Endpoint> shuffledSeeds();
@@ -76,9 +85,15 @@
   /** @return true where others begin by asking this balancer. */
   bool isSeed() const { return is_seed_; }
 
-  /** @return peers and seeds that are not in quarantine, the lowest rank first. */
+  /** @return peers and seeds that are not in quarantine, the best upstream first. */
   std::vector<Endpoint> ranked();
 
+  /**
+   * @return true where the balancer on the left is the better upstream: the one with the faster
+   * link, since a large configuration fills a slow one; the lower rank where both are alike.
+   */
+  bool isBetterUpstream(Endpoint left, Endpoint right) const;
+
   /**
    * @return the number of balancers, this one included: counted while all fit in the directory,
    * else estimated from how densely the ranks that were kept lie.
@@ -87,18 +102,25 @@
 
  private:
   void forgetOld();
-  void add(Endpoint peer);
+  void add(const KnownPeer& peer);
   void evictHighestRank();
+  /** @return the peers with the fastest links, which are never evicted. */
+  std::vector<Endpoint> fastest() const;
+  LinkClass linkOf(Endpoint peer) const;
   void quarantine(Endpoint peer, Duration duration);
   bool isQuarantined(Endpoint peer) const;
 
   const PeerDirectorySettings settings_;
-  const Endpoint own_address_;
+  const KnownPeer self_;
   std::vector<Endpoint> seeds_;
   const bool is_seed_;
   const TimeSource& time_source_;
   RandomGenerator& random_;
-  std::map<Endpoint, MonotonicTime> heard_at_;
+  struct Heard {
+    MonotonicTime at;
+    LinkClass link = 0;
+  };
+  std::map<Endpoint, Heard> heard_;
   std::map<Endpoint, MonotonicTime> quarantined_until_;
   std::map<Endpoint, MonotonicTime> view_shown_at_;
 };
--- a/src/discovery/peer_exchange.cc
+++ b/src/discovery/peer_exchange.cc
@@ -39,7 +39,7 @@
 
 void PeerExchange::exchangeWith(Endpoint peer) {
   client_.exchangePeers(peer,
-                        [this, peer](const Result<std::vector<Endpoint>, SourceError>& answer) {
+                        [this, peer](const Result<std::vector<KnownPeer>, SourceError>& answer) {
                           if (!answer) {
                             directory_.onFailed(peer);
                             return;
--- a/src/discovery/upstream_selector.cc
+++ b/src/discovery/upstream_selector.cc
@@ -24,7 +24,8 @@
   }
   const std::size_t watchers = watcherCount();
   std::vector<Endpoint> ranked = directory_.ranked();
-  const bool is_watcher = ranked.size() < watchers || own_rank_ < peerRank(ranked[watchers - 1]);
+  const bool is_watcher =
+      ranked.size() < watchers || directory_.isBetterUpstream(own_address_, ranked[watchers - 1]);
   if (is_watcher) {
     return {};
   }
--- a/src/discovery/upstream_selector.h
+++ b/src/discovery/upstream_selector.h
@@ -18,8 +18,8 @@
 
 /**
  * Decides whom this balancer follows: the store, or other balancers that watch the store. Those
- * with the lowest ranks watch, as many as the size of the fleet asks for. A balancer only follows
- * lower ranks, so that no two follow each other, whatever each knows of the fleet.
+ * with the fastest links and the lowest ranks watch, as many as the size of the fleet asks for. A
+ * balancer only follows better upstreams than itself, so that no two follow each other.
  */
 class UpstreamSelector {
  public:
--- a/src/discovery/view_client.cc
+++ b/src/discovery/view_client.cc
@@ -4,11 +4,10 @@
 
 namespace lugfork {
 
-ViewClient::ViewClient(ViewClientSettings settings, Endpoint own_address, std::uint16_t port,
-                       Send send, Scheduler& scheduler, const TimeSource& time_source,
-                       RandomGenerator& random)
+ViewClient::ViewClient(ViewClientSettings settings, KnownPeer self, std::uint16_t port, Send send,
+                       Scheduler& scheduler, const TimeSource& time_source, RandomGenerator& random)
     : settings_(settings),
-      own_address_(own_address),
+      self_(self),
       port_(port),
       send_(std::move(send)),
       scheduler_(scheduler),
@@ -20,7 +19,8 @@
   PendingView pending;
   pending.peer = {peer.address, port_};
   pending.request.request = id;
-  pending.request.from = own_address_;
+  pending.request.from = self_.address;
+  pending.request.link = self_.link;
   pending.request.after = after;
   pending.callback = std::move(callback);
   pending.silent_at = time_source_.monotonicTime() + patience;
@@ -34,7 +34,7 @@
   const std::uint64_t id = random_.next();
   const Endpoint to{peer.address, port_};
   exchanges_.insert_or_assign(id, PendingExchange{to, std::move(callback)});
-  send_(to, PeersRequest{id, own_address_});
+  send_(to, PeersRequest{id, self_});
   scheduler_.callAfter(settings_.exchange_patience, [this, id] {
     if (const auto found = exchanges_.extract(id)) {
       found.mapped().callback(SourceError::NoAnswer);
--- a/src/discovery/view_client.h
+++ b/src/discovery/view_client.h
@@ -27,10 +27,10 @@
   using Send = std::function<void(Endpoint to, const ViewMessage&)>;
 
   /**
-   * @param own_address control address, by which balancers know each other.
+   * @param self this balancer, as others are to know it.
    * @param port of the datagrams, the same for all balancers of a fleet.
    */
-  ViewClient(ViewClientSettings settings, Endpoint own_address, std::uint16_t port, Send send,
+  ViewClient(ViewClientSettings settings, KnownPeer self, std::uint16_t port, Send send,
              Scheduler& scheduler, const TimeSource& time_source, RandomGenerator& random);
 
   /** @param peer the balancer's control address. */
@@ -75,7 +75,7 @@
   PendingView* findPending(std::uint64_t id, Endpoint from);
 
   const ViewClientSettings settings_;
-  const Endpoint own_address_;
+  const KnownPeer self_;
   const std::uint16_t port_;
   const Send send_;
   Scheduler& scheduler_;
--- a/src/discovery/view_provider.cc
+++ b/src/discovery/view_provider.cc
@@ -22,7 +22,7 @@
       send_(std::move(send)) {}
 
 void ViewProvider::onRequest(const ViewRequest& request, Endpoint reply_to) {
-  directory_.onAlive(request.from);
+  directory_.onShown({request.from, request.link});
   const bool shows_view = request.after != 0;
   if (shows_view) {
     directory_.onShowsView(request.from);
@@ -40,8 +40,8 @@
 }
 
 void ViewProvider::onPeersRequest(const PeersRequest& request, Endpoint reply_to) {
-  send_(reply_to, PeersReply{request.request, directory_.lowestRanks(kMaxPeersInMessage)});
-  directory_.onAlive(request.from);
+  send_(reply_to, PeersReply{request.request, directory_.toTell(kMaxPeersInMessage)});
+  directory_.onShown(request.from);
 }
 
 void ViewProvider::onViewReady() {
@@ -150,7 +150,7 @@
   const bool is_old = now - whole_body_made_at_ > settings_.body_lifetime;
   if (whole_body_.bytes.empty() || is_old || whole_body_at_ != view.position()) {
     whole_body_made_at_ = now;
-    ViewBody content{{}, view.position(), true, directory_.lowestRanks(kMaxPeersInMessage)};
+    ViewBody content{{}, view.position(), true, directory_.toTell(kMaxPeersInMessage)};
     for (Item& item : view.page("", ItemView::kNoLimit).items) {
       content.changes.push_back({std::move(item), false});
     }
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -18,6 +18,11 @@
 /** No caller that stalls holds a thread for longer. */
 constexpr Duration kHttpTimeout = seconds(2);
 
+/** @return how other balancers are to know this one. */
+KnownPeer selfOf(const PacketDaemonSettings& settings) {
+  return {settings.control_address, settings.link};
+}
+
 HttpResponse plainText(int status, std::string body) {
   HttpResponse response;
   response.status = status;
@@ -37,8 +42,7 @@
       random_(makeSeededRandom(entropySeed())),
       io_context_(io_context),
       scheduler_(io_context),
-      directory_(settings_.peers, settings_.control_address, settings_.seeds, time_source_,
-                 *random_),
+      directory_(settings_.peers, selfOf(settings_), settings_.seeds, time_source_, *random_),
       store_(platform.source, time_source_),
       hedged_store_(settings_.hedged_reads, store_, scheduler_),
       selector_(settings_.upstream, settings_.control_address, directory_),
@@ -89,7 +93,7 @@
     return nullptr;
   }
   return std::make_unique<ViewClient>(
-      settings_.view_client, settings_.control_address, peer_socket_->port(),
+      settings_.view_client, selfOf(settings_), peer_socket_->port(),
       [this](Endpoint to, const ViewMessage& message) { peer_socket_->send(to, message); },
       scheduler_, time_source_, *random_);
 }
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -35,6 +35,8 @@
   Endpoint metrics_address;
   /** Control addresses of balancers that may be there. */
   std::vector<Endpoint> seeds;
+  /** Rate of this machine's link; the fastest links carry the changes of the fleet. */
+  LinkClass link = 0;
   PeerDirectorySettings peers;
   PeerExchangeSettings peer_exchange;
   /** Where balancers read each other's views (UDP); unset to know no other. */
--- a/src/wire/view_transfer_codec.cc
+++ b/src/wire/view_transfer_codec.cc
@@ -46,7 +46,7 @@
   std::vector<PackedChange> changes;
   Revision at = 0;
   bool is_whole = false;
-  std::vector<Endpoint> peers;
+  std::vector<KnownPeer> peers;
   auto fields() { return std::tie(changes, at, is_whole, peers); }
 };
 
--- a/src/wire/view_transfer_codec.h
+++ b/src/wire/view_transfer_codec.h
@@ -28,7 +28,7 @@
 /** Largest compressed body: 14,000 servers take a fifth of it. */
 inline constexpr std::uint32_t kMaxBodyBytes = 4 * 1024 * 1024;
 /** Balancers in one list, so that the list fits a datagram. */
-inline constexpr std::size_t kMaxPeersInMessage = 120;
+inline constexpr std::size_t kMaxPeersInMessage = 100;
 
 /** Asks for parts of what a view holds beyond a revision. */
 struct ViewRequest {
@@ -43,7 +43,9 @@
   std::uint32_t first_part = 0;
   /** Bit n stands for part first_part + n. */
   std::uint32_t parts = kAllParts;
-  auto fields() { return std::tie(request, from, after, body_hash, first_part, parts); }
+  /** Link of who asks. */
+  LinkClass link = 0;
+  auto fields() { return std::tie(request, from, after, body_hash, first_part, parts, link); }
 };
 
 /** One part of a body. */
@@ -72,13 +74,13 @@
 /** Shows who asks, and asks which balancers are known. */
 struct PeersRequest {
   std::uint64_t request = 0;
-  Endpoint from;
+  KnownPeer from;
   auto fields() { return std::tie(request, from); }
 };
 
 struct PeersReply {
   std::uint64_t request = 0;
-  std::vector<Endpoint> peers;
+  std::vector<KnownPeer> peers;
   auto fields() { return std::tie(request, peers); }
 };
 
@@ -89,7 +91,7 @@
   std::vector<ItemChange> changes;
   Revision at = 0;
   bool is_whole = false;
-  std::vector<Endpoint> peers;
+  std::vector<KnownPeer> peers;
 };
 
 /** @return the key for these datagrams, derived from the fleet's secret. */
--- a/tests/balancer/packet_node_test.cc
+++ b/tests/balancer/packet_node_test.cc
@@ -11,7 +11,8 @@
 
 const std::string kPrefix = "platform/";
 
-/** Reads items whose value is "route", "server", "draining", "zone lac out of service" or broken. */
+/** Reads items whose value is "route", "server", "draining", "zone lac out of service" or broken.
+ */
 class FakeDecoder : public RecordDecoder {
  public:
   Result<PlatformRecord, RecordProblem> decode(const std::string& key,
--- a/tests/discovery/fake_peers.h
+++ b/tests/discovery/fake_peers.h
@@ -25,7 +25,7 @@
 
   void exchangePeers(Endpoint peer, PeersCallback callback) override {
     exchanged.push_back(peer);
-    callback(answers.contains(peer) ? Result<std::vector<Endpoint>, SourceError>(told_peers)
+    callback(answers.contains(peer) ? Result<std::vector<KnownPeer>, SourceError>(told_peers)
                                     : SourceError::NoAnswer);
   }
 
@@ -42,7 +42,7 @@
 
   Scheduler& scheduler;
   std::map<Endpoint, Result<PeerView, PeerRefusal>> answers;
-  std::vector<Endpoint> told_peers;
+  std::vector<KnownPeer> told_peers;
   std::vector<Endpoint> asked;
   std::vector<Revision> asked_after;
   std::vector<Endpoint> exchanged;
--- a/tests/discovery/first_view_reader_test.cc
+++ b/tests/discovery/first_view_reader_test.cc
@@ -38,7 +38,7 @@
 
 TEST_CASE("a silent seed is passed over for the other one", "[first_view_reader]") {
   ReaderHarness harness;
-  harness.peers.told_peers = {kChild};
+  harness.peers.told_peers = {{kChild}};
   harness.peers.tells(kOtherSeed, {written("a", 3)}, 9, 10, true);
   harness.read(seconds(1));
   REQUIRE(harness.view.has_value());
--- a/tests/discovery/peer_directory_test.cc
+++ b/tests/discovery/peer_directory_test.cc
@@ -35,9 +35,9 @@
 TEST_CASE("peers that are not heard of are forgotten, also where others tell them",
           "[peer_directory]") {
   DirectoryHarness harness;
-  harness.directory.onTold({{3, 1}});
+  harness.directory.onTold({Endpoint{3, 1}});
   harness.time.elapsed += seconds(40);
-  harness.directory.onTold({{3, 1}});
+  harness.directory.onTold({Endpoint{3, 1}});
   harness.time.elapsed += seconds(40);
   CHECK(harness.directory.recent().empty());
 }
--- a/tests/discovery/peer_exchange_test.cc
+++ b/tests/discovery/peer_exchange_test.cc
@@ -24,7 +24,7 @@
 
 TEST_CASE("a seed is asked soon after the start, and tells of others", "[peer_exchange]") {
   ExchangeHarness harness;
-  harness.peers.told_peers = {kOther};
+  harness.peers.told_peers = {{kOther}};
   harness.peers.tells(kSeed, {}, 1);
   harness.exchange.start();
   harness.scheduler.advance(harness.settings.first_delay);
--- a/tests/discovery/upstream_selector_test.cc
+++ b/tests/discovery/upstream_selector_test.cc
@@ -22,6 +22,10 @@
   return balancers;
 }
 
+std::vector<KnownPeer> knownPeers(const std::vector<Endpoint>& addresses) {
+  return {addresses.begin(), addresses.end()};
+}
+
 /** One balancer's knowledge of others. */
 struct Balancer {
   Balancer(Endpoint own_address, const std::vector<Endpoint>& known, ManualTimeSource& time,
@@ -29,7 +33,7 @@
       : directory({}, own_address, {}, time, *random),
         own(own_address),
         selector({watchers_per_root}, own, directory) {
-    directory.onTold(known);
+    directory.onTold(knownPeers(known));
   }
 
   std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
@@ -84,7 +88,7 @@
   Balancer balancer(all[2], all, time, 0.5);
   REQUIRE(balancer.selector.upstreams() == std::vector<Endpoint>{all[0]});
   balancer.directory.onFailed(all[0]);
-  balancer.directory.onTold(all);
+  balancer.directory.onTold(knownPeers(all));
   CHECK(balancer.selector.upstreams() == std::vector<Endpoint>{all[1]});
 
   SECTION("with no lower rank left the store is watched") {
@@ -97,7 +101,7 @@
   }
   SECTION("it is back after the quarantine") {
     time.elapsed += seconds(31);
-    balancer.directory.onTold(all);
+    balancer.directory.onTold(knownPeers(all));
     CHECK(balancer.selector.upstreams() == std::vector<Endpoint>{all[0]});
   }
 }
@@ -115,6 +119,48 @@
   CHECK(balancer.directory.ranked().front() == all.front());
 }
 
+/** Ten of 40 balancers have a link of 200 Mbit/s, the others one of 10. */
+KnownPeer withLink(Endpoint address) {
+  return {address, linkClassOf(address.address % 4 == 0 ? 200 : 10)};
+}
+
+TEST_CASE("balancers with the fastest links watch the store, in every balancer's knowledge",
+          "[upstream]") {
+  ManualTimeSource time;
+  const auto random = makeSeededRandom(1);
+  const auto size = GENERATE(as<std::uint32_t>(), 40, 2700);
+  std::vector<KnownPeer> all;
+  for (const Endpoint& address : fleet(size)) {
+    all.push_back(withLink(address));
+  }
+  for (std::uint32_t number = 1; number <= kFleetSize; ++number) {
+    const KnownPeer self = withLink({number, 1});
+    PeerDirectory directory({}, self, {}, time, *random);
+    directory.onTold(all);
+    CHECK(directory.fleetSize() == Approx(size).epsilon(0.25));
+    UpstreamSelector selector({}, self.address, directory);
+    for (const Endpoint& upstream : selector.upstreams()) {
+      CHECK(withLink(upstream).link == linkClassOf(200));
+      CHECK(directory.isBetterUpstream(upstream, self.address));
+    }
+    CHECK((self.link == linkClassOf(200) || !selector.upstreams().empty()));
+  }
+}
+
+TEST_CASE("a link that was not known before is learnt from others", "[upstream]") {
+  ManualTimeSource time;
+  const auto random = makeSeededRandom(1);
+  PeerDirectory directory({}, Endpoint{1, 1}, {}, time, *random);
+  directory.onAlive({2, 1});
+  directory.onAlive({3, 1});
+  const Endpoint lower = directory.ranked().front();
+  const Endpoint higher = directory.ranked().back();
+  directory.onTold({{higher, linkClassOf(200)}});
+  CHECK(directory.ranked().front() == higher);
+  directory.onAlive(higher);
+  CHECK(directory.ranked() == std::vector<Endpoint>{higher, lower});
+}
+
 TEST_CASE("the fleet's first choices are spread over its watchers", "[upstream]") {
   ManualTimeSource time;
   std::map<Endpoint, int> followers;
--- a/tests/discovery/upstream_source_test.cc
+++ b/tests/discovery/upstream_source_test.cc
@@ -235,7 +235,7 @@
   UpstreamSourceSettings settings;
   for (const Endpoint& own : fleet) {
     PeerDirectory directory({}, own, {}, time, *random);
-    directory.onTold(fleet);
+    directory.onTold({fleet.begin(), fleet.end()});
     UpstreamSelector selector({}, own, directory);
     FakePeers peers(scheduler);
     for (const Endpoint& peer : fleet) {
--- a/tests/platform/packetd_test.cc
+++ b/tests/platform/packetd_test.cc
@@ -13,8 +13,7 @@
 std::string serverEntry(Endpoint address, const std::string& state = "ready",
                         const std::string& zone = "lac") {
   return R"({"service":"s","address":")" + toString(address) + R"(","zone":")" + zone +
-         R"(","version":"v1","capacity":2,"state":")" + state +
-         R"(","warmup_left_ms":0,"seq":1})";
+         R"(","version":"v1","capacity":2,"state":")" + state + R"(","warmup_left_ms":0,"seq":1})";
 }
 
 /** The opening of a flow from 127.0.0.1 to a port of 198.18.0.1. */
--- a/tests/runtime/udp_peer_socket_test.cc
+++ b/tests/runtime/udp_peer_socket_test.cc
@@ -16,8 +16,8 @@
   PeerNode(boost::asio::io_context& io_context, Endpoint address, const PeerKey& key,
            Scheduler& scheduler)
       : socket(io_context, address, key),
-        client(ViewClientSettings(), {address.address, 1}, address.port, sender(), scheduler, time,
-               *random) {
+        client(ViewClientSettings(), Endpoint{address.address, 1}, address.port, sender(),
+               scheduler, time, *random) {
     socket.setReceivers(&client, &provider);
     content.startFullRead();
     content.applyPage({{}, false, 1});
@@ -45,7 +45,7 @@
   std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
   ItemView content;
   bool serves = true;
-  PeerDirectory directory{{}, {kAsked, 1}, {}, time, *random};
+  PeerDirectory directory{{}, Endpoint{kAsked, 1}, {}, time, *random};
   UdpPeerSocket socket;
   ViewClient client;
   ViewProvider provider{ViewProviderSettings(), *this, directory, time, sender()};
@@ -89,8 +89,8 @@
   CHECK(harness.answer->value().status.age_ms == 30);
   CHECK(harness.answer->value().is_whole);
   CHECK(harness.answer->value().changes.size() == 1);
-  const std::vector<Endpoint>& peers = harness.answer->value().peers;
-  CHECK(std::count(peers.begin(), peers.end(), Endpoint{5, 1}) == 1);
+  const std::vector<KnownPeer>& peers = harness.answer->value().peers;
+  CHECK(std::count(peers.begin(), peers.end(), KnownPeer(Endpoint{5, 1})) == 1);
   // Who asks is known by its control address.
   const auto known = asked->directory.recent();
   CHECK(std::count(known.begin(), known.end(), Endpoint{kAsking, 1}) == 1);
--- a/tests/wire/view_transfer_codec_test.cc
+++ b/tests/wire/view_transfer_codec_test.cc
@@ -48,11 +48,12 @@
   CHECK(part.bytes == Bytes{1, 2, 3});
 
   const auto request =
-      decodeViewMessage(encodeViewMessage(ViewRequest{1, {2, 3}, 4, 5, 6, 7}, kKey), kKey);
+      decodeViewMessage(encodeViewMessage(ViewRequest{1, {2, 3}, 4, 5, 6, 7, 8}, kKey), kKey);
   REQUIRE(request);
   CHECK(std::get<ViewRequest>(request.value()).from == Endpoint{2, 3});
   CHECK(std::get<ViewRequest>(request.value()).after == 4);
   CHECK(std::get<ViewRequest>(request.value()).parts == 7);
+  CHECK(std::get<ViewRequest>(request.value()).link == 8);
 
   const auto refusal =
       decodeViewMessage(encodeViewMessage(ViewRefusal{1, {}, true, {{2, 3}}}, kKey), kKey);
@@ -66,8 +67,8 @@
   const Bytes encoded = encodeViewMessage(part, kKey);
   CHECK(encoded.size() <= kMaxDatagramBytes);
   CHECK(decodeViewMessage(encoded, kKey));
-  const PeersReply reply{~0ULL,
-                         std::vector<Endpoint>(kMaxPeersInMessage, Endpoint{0x0affffff, 65535})};
+  const PeersReply reply{
+      ~0ULL, std::vector<KnownPeer>(kMaxPeersInMessage, KnownPeer({0x0affffff, 65535}, 255))};
   const Bytes list = encodeViewMessage(reply, kKey);
   CHECK(list.size() <= kMaxDatagramBytes);
   CHECK(decodeViewMessage(list, kKey));
@@ -87,7 +88,8 @@
 }
 
 TEST_CASE("a body is read as it was written", "[view_transfer_codec]") {
-  const ViewBody body{{{{"a", "value", 7, 3}, false}, {{"b", "", 9, 0}, true}}, 9, true, {{1, 2}}};
+  const ViewBody body{
+      {{{"a", "value", 7, 3}, false}, {{"b", "", 9, 0}, true}}, 9, true, {KnownPeer({1, 2}, 7)}};
   const auto read = decodeViewBody(encodeViewBody(body));
   REQUIRE(read);
   REQUIRE(read.value().changes.size() == 2);
@@ -98,7 +100,7 @@
   CHECK(read.value().changes[1].deleted);
   CHECK(read.value().at == 9);
   CHECK(read.value().is_whole);
-  CHECK(read.value().peers == std::vector<Endpoint>{{1, 2}});
+  CHECK(read.value().peers == std::vector<KnownPeer>{KnownPeer({1, 2}, 7)});
   CHECK(decodeViewBody(encodeViewBody({})));
 }
 
