Read moving configurations apart on slow links; let stale upstreams give way

Cause: one watch hands on every version of a configuration. A stale watcher stayed everybody's upstream until a probe of the store. Change: SplitFeedSource watches servers alone while the operator's documents move, and reads these newest only; on links of 40 Mbit/s or more one watch tells all. A balancer that tells an old view is no upstream for 2 s, whatever it asks, and the next in rank watch in its place; a view counts as old from 1.5 s instead of 1.8. Test changed: with stale upstreams giving way the second poll asks the next balancer, which now tells the old view as well.

--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -44,9 +44,13 @@
 
 /** Where a platform keeps routes and servers, and how it writes them. */
 struct PlatformLayout {
-  /** Prefix of all keys that matter: one view costs half the calls of two. */
+  /** Prefix of all keys that matter: one view holds them all. */
   std::string prefix;
   const RecordDecoder& decoder;
+  /** Prefix of servers. */
+  std::string endpoints_prefix;
+  /** Prefix of what the operator writes: routes, and which zones are out of service. */
+  std::string documents_prefix;
 };
 
 /** Counts of the node beside the data path. */
--- a/src/discovery/item_view.cc
+++ b/src/discovery/item_view.cc
@@ -65,6 +65,17 @@
   return deletions;
 }
 
+std::vector<std::string> ItemView::keysUnder(const std::string& prefix) const {
+  std::vector<std::string> keys;
+  for (auto entry = known_.lower_bound(prefix);
+       entry != known_.end() && entry->first.starts_with(prefix); ++entry) {
+    if (!entry->second.deleted) {
+      keys.push_back(entry->first);
+    }
+  }
+  return keys;
+}
+
 ItemPage ItemView::page(const std::string& after_key, std::size_t limit) const {
   ItemPage page;
   page.at = position_;
--- a/src/discovery/item_view.h
+++ b/src/discovery/item_view.h
@@ -41,6 +41,9 @@
   /** @return the highest revision seen in an item or a deletion. */
   Revision newestRevision() const { return newest_; }
 
+  /** @return the keys under a prefix that exist, as far as is known. */
+  std::vector<std::string> keysUnder(const std::string& prefix) const;
+
   /** Notes that all changes up to a revision have been told. */
   void setPosition(Revision at) { position_ = std::max(position_, at); }
   Revision position() const { return position_; }
--- a/src/discovery/peer_directory.cc
+++ b/src/discovery/peer_directory.cc
@@ -56,11 +56,11 @@
 
 void PeerDirectory::onFailed(Endpoint peer) {
   heard_.erase(peer);
-  quarantine(peer, settings_.quarantine);
+  quarantined_until_[peer] = time_source_.monotonicTime() + settings_.quarantine;
 }
 
 void PeerDirectory::onUnavailable(Endpoint peer) {
-  quarantine(peer, settings_.short_quarantine);
+  unavailable_until_[peer] = time_source_.monotonicTime() + settings_.short_quarantine;
 }
 
 void PeerDirectory::onShowsView(Endpoint peer) {
@@ -71,7 +71,7 @@
   forgetOld();
   std::vector<Endpoint> peers;
   for (const auto& [peer, shown_at] : view_shown_at_) {
-    if (!isQuarantined(peer)) {
+    if (!isQuarantined(peer) && !isUnavailable(peer)) {
       peers.push_back(peer);
     }
   }
@@ -82,10 +82,6 @@
   return peers;
 }
 
-void PeerDirectory::quarantine(Endpoint peer, Duration duration) {
-  quarantined_until_[peer] = time_source_.monotonicTime() + duration;
-}
-
 std::optional<Endpoint> PeerDirectory::pick() {
   std::vector<Endpoint> choices = recent();
   if (choices.empty()) {
@@ -137,7 +133,8 @@
       peers.push_back(seed);
     }
   }
-  std::erase_if(peers, [this](Endpoint peer) { return isQuarantined(peer); });
+  std::erase_if(peers,
+                [this](Endpoint peer) { return isQuarantined(peer) || isUnavailable(peer); });
   std::sort(peers.begin(), peers.end(),
             [this](Endpoint left, Endpoint right) { return isBetterUpstream(left, right); });
   return peers;
@@ -211,9 +208,15 @@
     const bool is_higher = highest == heard_.end() || hasLowerRank(highest->first, entry->first);
     highest = !is_fast && is_higher ? entry : highest;
   }
+bool PeerDirectory::isUnavailable(Endpoint peer) const {
+  const auto found = unavailable_until_.find(peer);
+  return found != unavailable_until_.end() && time_source_.monotonicTime() <= found->second;
+}
+
   if (highest != heard_.end()) {
     heard_.erase(highest);
   }
+  std::erase_if(unavailable_until_, [&](const auto& entry) { return now > entry.second; });
 }
 
 std::vector<Endpoint> PeerDirectory::fastest() const {
--- a/src/discovery/peer_directory.h
+++ b/src/discovery/peer_directory.h
@@ -22,7 +22,10 @@
   Duration lifetime = seconds(60);
   /** Time for which a peer that failed is not taken back on the word of others. */
   Duration quarantine = seconds(30);
-  /** The same for a peer that answers but has no view: it has just started, or is about to stop. */
+  /**
+   * Time for which a peer that answers but has no view, or an old one, is no upstream: it has just
+   * started, is about to stop, or the store does not answer it.
+   */
   Duration short_quarantine = seconds(2);
   /** Time for which a peer that has shown a view is sure to have it still. */
   Duration view_shown_for = seconds(2);
@@ -61,7 +64,10 @@
   /** A peer did not answer, or not well: it is forgotten and stays in quarantine for a while. */
   void onFailed(Endpoint peer);
 
-  /** A peer answers but has nothing to tell: it is left alone for a short while. */
+  /**
+   * A peer answers but has nothing new to tell: no view, or an old one. It is left alone for a
+   * short while, whatever it asks meanwhile; those next in rank take its place.
+   */
   void onUnavailable(Endpoint peer);
 
   /** A peer has shown that it has a view. */
@@ -107,7 +113,6 @@
   /** @return the peers with the fastest links, which are never evicted. */
   std::vector<Endpoint> fastest() const;
   LinkClass linkOf(Endpoint peer) const;
-  void quarantine(Endpoint peer, Duration duration);
   bool isQuarantined(Endpoint peer) const;
 
   const PeerDirectorySettings settings_;
@@ -119,6 +124,7 @@
   struct Heard {
     MonotonicTime at;
     LinkClass link = 0;
+  bool isUnavailable(Endpoint peer) const;
   };
   std::map<Endpoint, Heard> heard_;
   std::map<Endpoint, MonotonicTime> quarantined_until_;
@@ -126,3 +132,4 @@
 };
 
 }  // namespace lugfork
+  std::map<Endpoint, MonotonicTime> unavailable_until_;
--- a/src/discovery/upstream_poller.cc
+++ b/src/discovery/upstream_poller.cc
@@ -63,6 +63,8 @@
     poll->callback(poll->best);
     return;
   }
+  // Those next in rank watch the store in its place, and are asked in the next poll.
+  directory_.onUnavailable(upstream);
   askNext(poll);
 }
 
--- a/src/discovery/upstream_poller.h
+++ b/src/discovery/upstream_poller.h
@@ -12,8 +12,11 @@
 struct UpstreamPollSettings {
   /** A balancer that gives no sign for this long counts as silent (three sends). */
   Duration patience = milliseconds(300);
-  /** Age of a view from which another balancer is asked as well. */
-  Duration max_age = milliseconds(1800);
+  /**
+   * Age of a view from which another balancer is asked as well: the longest watch of a store that
+   * answers, sixty times slower than usual, and a poll.
+   */
+  Duration max_age = milliseconds(1500);
   /** Balancers asked in one poll at most. */
   std::size_t max_asked = 3;
 };
--- a/src/discovery/view_follower.cc
+++ b/src/discovery/view_follower.cc
@@ -122,8 +122,7 @@
   }
   tell(news);
   setCaughtUp();
-  const Duration pause = changes.changes.empty() ? Duration::zero() : settings_.watch_pause;
-  scheduler_.callAfter(pause, [this] { startWatch(settings_.watch_wait); });
+  scheduler_.callAfter(Duration::zero(), [this] { startWatch(settings_.watch_wait); });
 }
 
 void ViewFollower::onAnswer(Duration answer_age) {
--- a/src/discovery/view_follower.h
+++ b/src/discovery/view_follower.h
@@ -12,8 +12,6 @@
 struct ViewFollowerSettings {
   /** Longest time for which a watch is held open without a change. */
   Duration watch_wait = seconds(1);
-  /** Pause before the next watch after an answer with changes, so that a burst needs few calls. */
-  Duration watch_pause = milliseconds(400);
   /** Pause after a failed call: doubles from the first to the longest, half of it random. */
   Duration retry_first = milliseconds(100);
   Duration retry_longest = seconds(1);
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -23,6 +23,14 @@
   return {settings.control_address, settings.link};
 }
 
+SplitFeedSettings splitFeedsOf(const PacketDaemonSettings& settings, const PlatformLayout& layout) {
+  SplitFeedSettings feeds = settings.split_feeds;
+  feeds.endpoints_prefix = layout.endpoints_prefix;
+  feeds.documents_prefix = layout.documents_prefix;
+  feeds.splits = settings.link < linkClassOf(kSlowLinkMegabits);
+  return feeds;
+}
+
 HttpResponse plainText(int status, std::string body) {
   HttpResponse response;
   response.status = status;
@@ -45,10 +53,12 @@
       directory_(settings_.peers, selfOf(settings_), settings_.seeds, time_source_, *random_),
       store_(platform.source, time_source_),
       hedged_store_(settings_.hedged_reads, store_, scheduler_),
+      split_store_(splitFeedsOf(settings_, platform.layout), hedged_store_, store_, scheduler_,
+                   time_source_),
       selector_(settings_.upstream, settings_.control_address, directory_),
       peer_socket_(makePeerSocket()),
       view_client_(makeViewClient()),
-      source_(settings_.source, settings_.control_address, hedged_store_, view_client_.get(),
+      source_(settings_.source, settings_.control_address, split_store_, view_client_.get(),
               directory_, selector_, scheduler_, time_source_),
       node_(settings_.node, platform.layout, source_, *this, scheduler_, time_source_, *random_,
             log_),
@@ -61,6 +71,8 @@
       reload_(std::move(reload)) {
   awaitSignal();
   source_.setListener(this);
+  split_store_.setKnownKeys(
+      [this](const std::string& prefix) { return node_.follower().view().keysUnder(prefix); });
   connectPeers();
   store_.setTimeCallback([this](Duration duration) { metrics_.onStoreRead(duration); });
   node_.setResponseCallback([this](Duration duration) { metrics_.onResponse(duration); });
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -10,6 +10,7 @@
 #include "common/bounded_event_log.h"
 #include "discovery/hedged_reads.h"
 #include "discovery/peer_exchange.h"
+#include "discovery/split_feed_source.h"
 #include "discovery/timed_source.h"
 #include "discovery/upstream_source.h"
 #include "runtime/asio_scheduler.h"
@@ -46,6 +47,8 @@
   UpstreamSettings upstream;
   UpstreamSourceSettings source;
   HedgedReadSettings hedged_reads;
+  /** Its prefixes come from the platform's layout. */
+  SplitFeedSettings split_feeds;
   LeaveSettings leave;
   LogLimits log_limits;
 };
@@ -105,6 +108,7 @@
   PeerDirectory directory_;
   TimedSource store_;
   HedgedReads hedged_store_;
+  SplitFeedSource split_store_;
   UpstreamSelector selector_;
   /** These four are null where this balancer knows no other. */
   std::unique_ptr<UdpPeerSocket> peer_socket_;
--- a/tests/balancer/packet_node_test.cc
+++ b/tests/balancer/packet_node_test.cc
@@ -39,7 +39,7 @@
 
 struct PacketNodeHarness : PacketSender {
   explicit PacketNodeHarness(const PacketNodeSettings& settings = PacketNodeSettings())
-      : node(settings, {kPrefix, decoder}, source, *this, scheduler, time, *random, log) {
+      : node(settings, {kPrefix, "", "", decoder}, source, *this, scheduler, time, *random, log) {
     node.setCompletionCallback([this] { ++completions; });
     node.start();
   }
--- /dev/null
+++ b/tests/discovery/split_feed_source_test.cc
@@ -0,0 +1,201 @@
+#include "discovery/split_feed_source.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "discovery/discovery_fixture.h"
+
+namespace lugfork {
+namespace {
+
+const std::string kServers = "servers/";
+const std::string kDocuments = "documents/";
+
+const std::string kAll = "all/";
+
+/** A user who watches all items, and the store that the test plays. */
+struct SplitHarness {
+  void watch(Revision after, Duration wait = seconds(1)) {
+    answer.reset();
+    source.watch({kAll, after, wait},
+                 [this](Result<ItemChanges, SourceError> result) { answer = std::move(result); });
+    scheduler.advance(Duration::zero());
+  }
+
+  /** Comes to know both kinds of items at a revision, and watches on. */
+  void begin(Revision after) {
+    watch(after, milliseconds(1));
+    store.answerWatch(kServers, ItemChanges{{}, after});
+    store.answerPage(kDocuments, ItemPage{{}, false, after});
+    REQUIRE(answer.has_value());
+    watch(after);
+  }
+
+  /** Documents begin to change. */
+  void moveDocuments() {
+    store.answerWatch(kAll, ItemChanges{{written("documents/routes", 11)}, 11});
+    watch(11);
+    scheduler.advance(settings.pause);
+  }
+
+  std::vector<std::string> toldKeys() const {
+    std::vector<std::string> keys;
+    for (const ItemChange& change : answer->value().changes) {
+      keys.push_back((change.deleted ? "-" : "") + change.item.key);
+    }
+    return keys;
+  }
+
+  ManualTimeSource time;
+  ManualScheduler scheduler{time};
+  ManualSource whole;
+  ManualSource store;
+  SplitFeedSettings settings{kServers, kDocuments};
+  SplitFeedSource source{settings, whole, store, scheduler, time};
+  std::optional<Result<ItemChanges, SourceError>> answer;
+};
+
+TEST_CASE("a first watch is answered once servers and documents are known", "[split_feed_source]") {
+  SplitHarness harness;
+  harness.watch(10, milliseconds(1));
+  CHECK_FALSE(harness.store.hasPage(kDocuments));
+  CHECK(harness.store.watch_requests.back().after == 10);
+  harness.store.answerWatch(kServers, ItemChanges{{written("servers/a", 12)}, 14});
+  CHECK_FALSE(harness.answer.has_value());
+  harness.store.answerPage(kDocuments, ItemPage{{item("documents/routes", 3)}, false, 13});
+  REQUIRE(harness.answer.has_value());
+  CHECK(harness.toldKeys() == std::vector<std::string>{"servers/a", "documents/routes"});
+  CHECK(harness.answer->value().at == 13);
+}
+
+TEST_CASE("one watch tells all changes while documents rest", "[split_feed_source]") {
+  SplitHarness harness;
+  harness.begin(10);
+  const std::uint64_t reads = harness.source.counters().document_reads;
+  for (Revision revision = 11; revision < 20; ++revision) {
+    CHECK(harness.store.watch_requests.back().prefix == kAll);
+    CHECK(harness.store.watch_requests.back().after == revision - 1);
+    harness.store.answerWatch(kAll, ItemChanges{{written("servers/a", revision)}, revision});
+    CHECK(harness.answer->value().at == revision);
+    harness.watch(revision);
+    harness.scheduler.advance(harness.settings.pause);
+  }
+  CHECK(harness.source.counters().document_reads == reads);
+}
+
+TEST_CASE("on a fast link one watch tells all changes, also while documents move",
+          "[split_feed_source]") {
+  SplitHarness harness;
+  SplitFeedSettings settings = harness.settings;
+  settings.splits = false;
+  SplitFeedSource source(settings, harness.whole, harness.store, harness.scheduler, harness.time);
+  for (Revision revision = 11; revision < 20; ++revision) {
+    std::optional<Result<ItemChanges, SourceError>> answer;
+    source.watch({kAll, revision - 1, seconds(1)},
+                 [&](Result<ItemChanges, SourceError> result) { answer = std::move(result); });
+    harness.scheduler.advance(harness.settings.pause);
+    CHECK(harness.store.watch_requests.back().after == revision - 1);
+    harness.store.answerWatch(kAll, ItemChanges{{written("documents/routes", revision)}, revision});
+    REQUIRE(answer.has_value());
+    CHECK(answer->value().at == revision);
+  }
+  CHECK(harness.store.page_requests.empty());
+  CHECK(source.counters().watches == 9);
+}
+
+TEST_CASE("a server's change is told at once while documents are on their way",
+          "[split_feed_source]") {
+  SplitHarness harness;
+  harness.begin(10);
+  harness.moveDocuments();
+  REQUIRE(harness.store.hasPage(kDocuments));
+  harness.store.answerWatch(kServers, ItemChanges{{written("servers/a", 12)}, 12});
+  REQUIRE(harness.answer.has_value());
+  CHECK(harness.toldKeys() == std::vector<std::string>{"servers/a"});
+  // The documents are only known up to here.
+  CHECK(harness.answer->value().at == 11);
+}
+
+TEST_CASE("once documents move their newest state is read until it rests", "[split_feed_source]") {
+  SplitHarness harness;
+  harness.begin(10);
+  harness.moveDocuments();
+  harness.store.answerPage(kDocuments, ItemPage{{item("documents/routes", 30)}, false, 31});
+  CHECK(harness.toldKeys() == std::vector<std::string>{"documents/routes"});
+  harness.watch(11);
+  CHECK_FALSE(harness.store.hasPage(kDocuments));
+  harness.scheduler.advance(harness.settings.pause);
+  harness.store.answerPage(kDocuments, ItemPage{{item("documents/routes", 30)}, false, 40});
+  harness.watch(11);
+  // The watch of the endpoints is still open; the next one covers all again, and misses nothing.
+  harness.store.answerWatch(kServers, ItemChanges{{}, 45});
+  CHECK(harness.answer->value().at == 40);
+  harness.watch(40);
+  CHECK_FALSE(harness.store.hasPage(kDocuments));
+  CHECK(harness.store.watch_requests.back().prefix == kAll);
+  CHECK(harness.store.watch_requests.back().after == 40);
+}
+
+TEST_CASE("a document that the newest state lacks is told as deleted", "[split_feed_source]") {
+  SplitHarness harness;
+  harness.begin(10);
+  harness.source.setKnownKeys(
+      [](const std::string&) { return std::vector<std::string>{"documents/zone"}; });
+  harness.moveDocuments();
+  const bool has_more = GENERATE(false, true);
+  harness.store.answerPage(kDocuments, ItemPage{{item("documents/routes", 30)}, has_more, 31});
+  const auto keys = harness.toldKeys();
+  CHECK((std::count(keys.begin(), keys.end(), "-documents/zone") == 1) == !has_more);
+}
+
+TEST_CASE("an error is told, and the next watch begins with one call", "[split_feed_source]") {
+  const SourceError error = GENERATE(SourceError::NoAnswer, SourceError::Throttled,
+                                     SourceError::Unavailable, SourceError::HistoryGone);
+  SplitHarness harness;
+  harness.begin(10);
+  SECTION("of the watch") {
+    harness.store.answerWatch(kAll, error);
+  }
+  SECTION("of a read of documents") {
+    harness.moveDocuments();
+    harness.store.answerPage(kDocuments, error);
+  }
+  REQUIRE(harness.answer.has_value());
+  REQUIRE_FALSE(harness.answer->has_value());
+  CHECK(harness.answer->error() == error);
+  const std::size_t calls =
+      harness.store.watch_requests.size() + harness.store.page_requests.size();
+  harness.watch(11);
+  CHECK(harness.store.watch_requests.size() + harness.store.page_requests.size() == calls + 1);
+  CHECK(harness.store.watch_requests.back().prefix == kServers);
+}
+
+TEST_CASE("a burst of changes needs one watch for each pause", "[split_feed_source]") {
+  SplitHarness harness;
+  harness.begin(10);
+  const std::uint64_t before = harness.source.counters().watches;
+  harness.store.answerWatch(kAll, ItemChanges{{written("servers/a", 11)}, 11});
+  harness.watch(11);
+  CHECK(harness.source.counters().watches == before);
+  harness.scheduler.advance(harness.settings.pause);
+  CHECK(harness.source.counters().watches == before + 1);
+}
+
+TEST_CASE("who comes back after a while gets what came since, not what was gathered then",
+          "[split_feed_source]") {
+  SplitHarness harness;
+  harness.begin(10);
+  harness.scheduler.advance(seconds(5));
+  harness.watch(50, milliseconds(1));
+  CHECK(harness.store.watch_requests.back().prefix == kServers);
+  CHECK(harness.store.watch_requests.back().after == 50);
+  harness.store.answerWatch(kServers, ItemChanges{{}, 52});
+  CHECK_FALSE(harness.answer.has_value());
+  harness.store.answerPage(kDocuments, ItemPage{{}, false, 51});
+  REQUIRE(harness.answer.has_value());
+  CHECK(harness.answer->value().at == 51);
+}
+
+}  // namespace
+}  // namespace lugfork
--- a/tests/discovery/upstream_poller_test.cc
+++ b/tests/discovery/upstream_poller_test.cc
@@ -73,6 +73,18 @@
   CHECK(harness.directory.ranked() == std::vector<Endpoint>{balancer(2)});
 }
 
+TEST_CASE("who tells an old view is no upstream for a short time", "[upstream_poller]") {
+  PollHarness harness;
+  harness.directory.onAlive(balancer(1));
+  harness.directory.onAlive(balancer(2));
+  harness.peers.tells(balancer(1), {}, 5, 1600);
+  harness.peers.tells(balancer(2), {}, 5, 100);
+  harness.poll();
+  CHECK(harness.directory.ranked() == std::vector<Endpoint>{balancer(2)});
+  harness.time.elapsed += seconds(3);
+  CHECK(harness.directory.ranked().size() == 2);
+}
+
 TEST_CASE("a balancer to which all are silent blames nobody", "[upstream_poller]") {
   PollHarness harness;
   for (std::uint32_t number = 1; number <= 4; ++number) {
--- a/tests/discovery/upstream_selector_test.cc
+++ b/tests/discovery/upstream_selector_test.cc
@@ -106,6 +106,21 @@
   }
 }
 
+TEST_CASE("an upstream with an old view gives way to the next in rank, also while it asks others",
+          "[upstream]") {
+  ManualTimeSource time;
+  std::vector<Endpoint> all = fleet(4);
+  std::sort(all.begin(), all.end(),
+            [](Endpoint left, Endpoint right) { return peerRank(left) < peerRank(right); });
+  Balancer next(all[1], all, time, 0.5);
+  REQUIRE(next.selector.upstreams() == std::vector<Endpoint>{all[0]});
+  next.directory.onUnavailable(all[0]);
+  next.directory.onShown(all[0]);
+  CHECK(next.selector.upstreams().empty());
+  time.elapsed += seconds(3);
+  CHECK(next.selector.upstreams() == std::vector<Endpoint>{all[0]});
+}
+
 TEST_CASE("a full directory keeps the lowest ranks and tells the fleet's size by them",
           "[upstream]") {
   ManualTimeSource time;
--- a/tests/discovery/upstream_source_test.cc
+++ b/tests/discovery/upstream_source_test.cc
@@ -204,6 +204,7 @@
   SourceHarness harness;
   harness.catchUp();
   harness.peers.tells(kFirst, {written("a", 8)}, 8, 9000);
+  harness.peers.tells(kSecond, {written("a", 8)}, 8, 9000);
   harness.poll();
   harness.store.answerWatch(kPrefix, SourceError::NoAnswer);
   REQUIRE(harness.answer.has_value());
--- a/tests/discovery/view_follower_test.cc
+++ b/tests/discovery/view_follower_test.cc
@@ -31,11 +31,8 @@
     source.answerPage(kPrefix, std::move(answer));
   }
   void answerWatch(Result<ItemChanges, SourceError> answer) {
-    const bool has_answer = answer.has_value();
     source.answerWatch(kPrefix, std::move(answer));
-    if (has_answer) {
-      scheduler.advance(settings.watch_pause);
-    }
+    scheduler.advance(Duration::zero());
   }
 
   /** Goes through a full read with these items and the watch that completes it. */
