Bound the new flows of cold servers by the sum over the fleet

Cause: nothing limited what a server gets while it warms up after a start. Change: the adapter reads a service's rate; each cold server belongs to two balancers (rendezvous over the live ones that all directories keep), which divide half of the bound, so that it holds also where two parts of the fleet choose owners of their own, and after restarts (5 s without any). Ways: no limit; owners with windows (kept). A share thinned by the fleet's size was weighed and not built: 89 balancers that each may send one flow break the bound in one second. Tests: sum under the bound in any second for two halves of a fleet, restarts and uneven load (property); owners in fleets of 1 to 300, which showed that balancers outside the kept ranks counted themselves in, mended here.

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -28,6 +28,7 @@
       loads_(settings_.load, time_source),
       placement_(placementSettingsOf(settings_), makePlacementPolicy(settings_.placement_policy),
                  loads_, time_source, random),
+      cold_limit_(settings_.cold_servers, time_source),
       decider_(settings_.decider, time_source, placement_, *this),
       observer_(settings_.observer, time_source),
       silence_(settings_.silence, time_source, log),
@@ -40,6 +41,7 @@
 }
 
 void PacketNode::connectObservations() {
+  placement_.setColdServerLimit(&cold_limit_);
   if (settings_.uses.pass_over_suspects) {
     placement_.setSuspicion(&silence_);
   }
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -39,6 +39,7 @@
   SilenceSettings silence;
   ResponseTimeSettings response_times;
   LoadEstimateSettings load;
+  ColdServerLimitSettings cold_servers;
   ViewFollowerSettings follower;
 };
 
@@ -46,11 +47,11 @@
 struct PlatformLayout {
   /** Prefix of all keys that matter: one view holds them all. */
   std::string prefix;
-  const RecordDecoder& decoder;
   /** Prefix of servers. */
   std::string endpoints_prefix;
   /** Prefix of what the operator writes: routes, and which zones are out of service. */
   std::string documents_prefix;
+  const RecordDecoder& decoder;
 };
 
 /** Counts of the node beside the data path. */
@@ -90,6 +91,11 @@
   /** Sets what is called once, when others may be told of this node's view. */
   void setCaughtUpCallback(std::function<void()> callback) { on_caught_up_ = std::move(callback); }
 
+  /** Sets what tells which cold servers belong to this balancer. */
+  void setIsOwner(ColdServerLimit::IsOwner is_owner) {
+    cold_limit_.setIsOwner(std::move(is_owner));
+  }
+
   /** Sets what is called with the duration of each handshake that ends here. */
   void setHandshakeCallback(std::function<void(Duration)> callback) {
     on_handshake_ = std::move(callback);
@@ -146,6 +152,7 @@
   BackendRegistry registry_;
   BackendLoadTable loads_;
   PlacementEngine placement_;
+  ColdServerLimit cold_limit_;
   FlowDecider decider_;
   FlowObserver observer_;
   SilenceDetector silence_;
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "common/ids.h"
+#include "common/time_source.h"
 
 /** Resources that operators declare, and an immutable indexed view of one document. */
 namespace lugfork {
@@ -53,6 +54,10 @@
   bool draining = false;
   /** No longer declared: reachable for the flows that it may still hold, and nothing else. */
   bool retired = false;
+  /** Until then it is warming up after its start and bears fewer flows; unset for warm. */
+  MonotonicTime cold_until;
+  /** New flows a second that it bears while cold; 0 where no limit is told. */
+  double cold_flows_per_second = 0;
   /** Identifies this start of the server where the platform tells it; else 0. */
   std::uint64_t incarnation = 0;
   /** What goes into documents and between balancers. */
--- a/src/discovery/backend_registry.cc
+++ b/src/discovery/backend_registry.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint32_t kFirstId = 1;
+constexpr double kSecondsInMinute = 60;
 /** Servers in a line of a snapshot: about a kilobyte. */
 constexpr std::size_t kServersInLine = 40;
 
@@ -41,6 +42,7 @@
   server.id = backendIdOfIncarnation(record.incarnation);
   server.revision = revision;
   server.created = created;
+  server.cold_until = time_source_.monotonicTime() + milliseconds(record.warmup_left_ms);
   server.retired = false;
   server.missing_since = 0;
   retireMissingAt(record.address);
@@ -254,9 +256,20 @@
   backend.draining = record.state == ServerState::Draining;
   backend.retired = server.retired;
   backend.incarnation = record.incarnation;
+  if (record.warmup_left_ms > 0) {
+    backend.cold_until = server.cold_until;
+    backend.cold_flows_per_second = coldFlowsPerSecond(record.service);
+  }
   return backend;
 }
 
+double BackendRegistry::coldFlowsPerSecond(const std::string& service) const {
+  const auto found =
+      std::find_if(routes_.warmups.begin(), routes_.warmups.end(),
+                   [&](const ServiceWarmup& warmup) { return warmup.service == service; });
+  return found == routes_.warmups.end() ? 0 : found->flows_per_minute / kSecondsInMinute;
+}
+
 Route BackendRegistry::makeRoute(const RouteRecord& record) {
   Route route;
   route.address = record.address;
--- a/src/discovery/backend_registry.h
+++ b/src/discovery/backend_registry.h
@@ -83,6 +83,8 @@
     BackendId id;
     Revision revision = 0;
     Revision created = 0;
+    /** Until then it is warming up, counted from when this balancer learnt of it. */
+    MonotonicTime cold_until;
     bool retired = false;
     MonotonicTime retired_at;
     /** Its record has vanished, at this revision; 0 where it has not. */
@@ -102,6 +104,8 @@
   ZoneId zoneIdOf(const std::string& name);
   bool isOutOfService(const std::string& zone) const;
   Backend makeBackend(const Server& server);
+  /** @return new flows a second that a cold server of the service bears; 0 for no limit. */
+  double coldFlowsPerSecond(const std::string& service) const;
   Route makeRoute(const RouteRecord& record);
 
   const Duration retired_for_;
--- a/src/discovery/peer_directory.cc
+++ b/src/discovery/peer_directory.cc
@@ -154,12 +154,31 @@
   return found == heard_.end() ? LinkClass{0} : found->second.link;
 }
 
-double PeerDirectory::fleetSize() {
-  forgetOld();
-  if (heard_.size() < settings_.size) {
-    return static_cast<double>(heard_.size()) + 1;
+bool PeerDirectory::isOwner(std::uint64_t key, std::size_t owners) {
+  const auto weight = [key](Endpoint peer) {
+    const std::uint64_t content[] = {key, peerRank(peer)};
+    return XXH3_64bits(content, sizeof(content));
+  };
+  const std::vector<Endpoint> peers = recent();
+  if (peers.size() >= settings_.size && !isKeptByOthers()) {
+    return false;
   }
-  // All peers up to the highest rank that was kept for its rank are known.
+  const std::uint64_t own_weight = weight(self_.address);
+  std::size_t before_self = 0;
+  for (const Endpoint& peer : peers) {
+    before_self += weight(peer) < own_weight ? 1 : 0;
+  }
+  return before_self < owners;
+}
+
+bool PeerDirectory::isKeptByOthers() const {
+  const std::vector<Endpoint> kept_for_link = fastest();
+  const bool is_fast =
+      kept_for_link.empty() || isBetterUpstream(self_.address, kept_for_link.back());
+  return is_fast || peerRank(self_.address) <= highestKeptRank();
+}
+
+PeerRank PeerDirectory::highestKeptRank() const {
   const std::vector<Endpoint> kept_for_link = fastest();
   PeerRank highest = 1;
   for (const auto& [peer, heard] : heard_) {
@@ -167,6 +186,16 @@
         std::find(kept_for_link.begin(), kept_for_link.end(), peer) != kept_for_link.end();
     highest = is_fast ? highest : std::max(highest, peerRank(peer));
   }
+  return highest;
+}
+
+double PeerDirectory::fleetSize() {
+  forgetOld();
+  if (heard_.size() < settings_.size) {
+    return static_cast<double>(heard_.size()) + 1;
+  }
+  // All peers up to the highest rank that was kept for its rank are known.
+  const PeerRank highest = highestKeptRank();
   const auto known = std::count_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
     return peerRank(entry.first) <= highest;
   });
@@ -179,9 +208,15 @@
   return found != quarantined_until_.end() && time_source_.monotonicTime() <= found->second;
 }
 
+bool PeerDirectory::isUnavailable(Endpoint peer) const {
+  const auto found = unavailable_until_.find(peer);
+  return found != unavailable_until_.end() && time_source_.monotonicTime() <= found->second;
+}
+
 void PeerDirectory::forgetOld() {
   const MonotonicTime now = time_source_.monotonicTime();
   std::erase_if(quarantined_until_, [&](const auto& entry) { return now > entry.second; });
+  std::erase_if(unavailable_until_, [&](const auto& entry) { return now > entry.second; });
   std::erase_if(heard_,
                 [&](const auto& entry) { return now - entry.second.at > settings_.lifetime; });
   std::erase_if(view_shown_at_,
@@ -208,15 +243,9 @@
     const bool is_higher = highest == heard_.end() || hasLowerRank(highest->first, entry->first);
     highest = !is_fast && is_higher ? entry : highest;
   }
-bool PeerDirectory::isUnavailable(Endpoint peer) const {
-  const auto found = unavailable_until_.find(peer);
-  return found != unavailable_until_.end() && time_source_.monotonicTime() <= found->second;
-}
-
   if (highest != heard_.end()) {
     heard_.erase(highest);
   }
-  std::erase_if(unavailable_until_, [&](const auto& entry) { return now > entry.second; });
 }
 
 std::vector<Endpoint> PeerDirectory::fastest() const {
--- a/src/discovery/peer_directory.h
+++ b/src/discovery/peer_directory.h
@@ -100,6 +100,12 @@
    */
   bool isBetterUpstream(Endpoint left, Endpoint right) const;
 
+  /**
+   * @return true where this balancer is among the few that own a key, chosen by rendezvous hashing
+   * over all balancers that are known here.
+   */
+  bool isOwner(std::uint64_t key, std::size_t owners);
+
   /**
    * @return the number of balancers, this one included: counted while all fit in the directory,
    * else estimated from how densely the ranks that were kept lie.
@@ -112,8 +118,13 @@
   void evictHighestRank();
   /** @return the peers with the fastest links, which are never evicted. */
   std::vector<Endpoint> fastest() const;
+  /** @return the highest rank of the peers that were kept for their rank. */
+  PeerRank highestKeptRank() const;
+  /** @return true where this balancer is among those that all full directories keep. */
+  bool isKeptByOthers() const;
   LinkClass linkOf(Endpoint peer) const;
   bool isQuarantined(Endpoint peer) const;
+  bool isUnavailable(Endpoint peer) const;
 
   const PeerDirectorySettings settings_;
   const KnownPeer self_;
@@ -124,12 +135,11 @@
   struct Heard {
     MonotonicTime at;
     LinkClass link = 0;
-  bool isUnavailable(Endpoint peer) const;
   };
   std::map<Endpoint, Heard> heard_;
   std::map<Endpoint, MonotonicTime> quarantined_until_;
+  std::map<Endpoint, MonotonicTime> unavailable_until_;
   std::map<Endpoint, MonotonicTime> view_shown_at_;
 };
 
 }  // namespace lugfork
-  std::map<Endpoint, MonotonicTime> unavailable_until_;
--- a/src/discovery/platform_records.h
+++ b/src/discovery/platform_records.h
@@ -49,11 +49,21 @@
   auto fields() { return std::tie(address, shares, bulk); }
 };
 
+/** What servers of a service bear while they are cold after a start. */
+struct ServiceWarmup {
+  std::string service;
+  /** New flows a minute, rounded down; a whole number, since records hold no fractions. */
+  std::uint32_t flows_per_minute = 0;
+  auto fields() { return std::tie(service, flows_per_minute); }
+};
+
 /** The operator's whole set of routes. */
 struct RouteTable {
   std::uint64_t version = 0;
   std::vector<RouteRecord> routes;
-  auto fields() { return std::tie(version, routes); }
+  /** Services whose cold servers have a limit. */
+  std::vector<ServiceWarmup> warmups = {};
+  auto fields() { return std::tie(version, routes, warmups); }
 };
 
 /**
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -83,6 +83,9 @@
     return refusalFor(service, list);
   }
   loads_.onPlaced(*chosen);
+  if (cold_limit_ != nullptr) {
+    cold_limit_->onPlaced(*chosen);
+  }
   return chosen;
 }
 
@@ -119,6 +122,7 @@
   return loads_.acceptsNewWork(backend) && !outliers_.isEjected(backend.id) &&
          (list.ignore_reachability || loads_.looksReachable(backend)) &&
          (list.ignore_suspicion || !isSuspect(backend)) &&
+         (cold_limit_ == nullptr || cold_limit_->admits(backend)) &&
          !loads_.isFull(backend, settings_.full_load);
 }
 
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -6,6 +6,7 @@
 
 #include "common/result.h"
 #include "flow/backend_load_table.h"
+#include "flow/cold_server_limit.h"
 #include "flow/outlier_detector.h"
 #include "flow/policy/placement_policy.h"
 #include "flow/requests_in_flight.h"
@@ -93,6 +94,9 @@
   /** Sets what counts unanswered requests; load is then estimated by them. */
   void setRequestsInFlight(const RequestsInFlight* in_flight) { in_flight_ = in_flight; }
 
+  /** Sets what bounds the flows of servers that are warming up. */
+  void setColdServerLimit(ColdServerLimit* limit) { cold_limit_ = limit; }
+
   /** Sets what tells of back ends that do not answer; they are passed over. */
   void setSuspicion(const BackendSuspicion* suspicion) { suspicion_ = suspicion; }
 
@@ -136,6 +140,7 @@
   OutlierDetector outliers_;
   const BackendSuspicion* suspicion_ = nullptr;
   const BackendSpeed* speed_ = nullptr;
+  ColdServerLimit* cold_limit_ = nullptr;
   const RequestsInFlight* in_flight_ = nullptr;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
--- a/tests/discovery/backend_registry_test.cc
+++ b/tests/discovery/backend_registry_test.cc
@@ -73,6 +73,25 @@
   CHECK(allowed(1));
 }
 
+TEST_CASE("a server that is warming up has its service's limit until that is over",
+          "[backend_registry]") {
+  RegistryHarness harness;
+  RouteTable table{7, {{kListen, {{"listen", 1}}}}, {{"listen", 750}}};
+  ServerRecord cold = server(1, "listen", addressOf(1));
+  cold.warmup_left_ms = 1500;
+  ServerRecord other = server(3, "ingest", addressOf(3));
+  other.warmup_left_ms = 1500;
+  harness.registry.onRoutes(table, 1);
+  harness.registry.onServer("a", cold, 2, 2);
+  harness.registry.onServer("b", server(2, "listen", addressOf(2)), 3, 3);
+  harness.registry.onServer("c", other, 4, 4);
+  const auto view = harness.registry.makeConfiguration();
+  CHECK(harness.find(view, 1)->cold_flows_per_second == 12.5);
+  CHECK(harness.find(view, 1)->cold_until == harness.time.monotonicTime() + milliseconds(1500));
+  CHECK(harness.find(view, 2)->cold_flows_per_second == 0);
+  CHECK(harness.find(view, 3)->cold_flows_per_second == 0);
+}
+
 TEST_CASE("an older version of the routes is ignored", "[backend_registry]") {
   RegistryHarness harness;
   harness.registry.onRoutes({7, {{kListen, {{"listen", 1}}}}}, 10);
--- /dev/null
+++ b/tests/flow/cold_server_limit_test.cc
@@ -0,0 +1,144 @@
+#include "flow/cold_server_limit.h"
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "discovery/peer_directory.h"
+#include "flow/router_harness.h"
+
+namespace lugfork {
+namespace {
+
+constexpr double kFlowsPerSecond = 10;
+/** With the default settings: 10 x 1.5 + 5. */
+constexpr std::size_t kBound = 20;
+
+Backend coldBackend(const ManualTimeSource& time, std::uint32_t id = 1) {
+  Backend backend = makeBackend(id, ServiceId(1), kLac);
+  backend.incarnation = id;
+  backend.cold_flows_per_second = kFlowsPerSecond;
+  backend.cold_until = time.monotonicTime() + seconds(3600);
+  return backend;
+}
+
+std::size_t placeAll(ColdServerLimit& limit, const Backend& backend, std::size_t tries) {
+  std::size_t placed = 0;
+  for (std::size_t count = 0; count < tries; ++count) {
+    if (limit.admits(backend)) {
+      limit.onPlaced(backend);
+      ++placed;
+    }
+  }
+  return placed;
+}
+
+TEST_CASE("a warm server, and one without a limit, gets every flow", "[cold_server_limit]") {
+  ManualTimeSource time;
+  ColdServerLimit limit({}, time);
+  Backend warm = coldBackend(time);
+  warm.cold_until = time.monotonicTime();
+  CHECK(placeAll(limit, warm, 1000) == 1000);
+  Backend unlimited = coldBackend(time);
+  unlimited.cold_flows_per_second = 0;
+  CHECK(placeAll(limit, unlimited, 1000) == 1000);
+}
+
+TEST_CASE("a cold server gets a part of its bound from an owner, and nothing from others",
+          "[cold_server_limit]") {
+  ManualTimeSource time;
+  ColdServerLimit limit({}, time);
+  const Backend cold = coldBackend(time);
+  CHECK(placeAll(limit, cold, 100) == 0);
+  time.elapsed += ColdServerLimitSettings().start_delay;
+  CHECK(placeAll(limit, cold, 100) == kBound / 4);
+  time.elapsed += milliseconds(1050);
+  CHECK(placeAll(limit, cold, 100) == 0);
+  time.elapsed += milliseconds(100);
+  CHECK(placeAll(limit, cold, 100) == kBound / 4);
+  limit.setIsOwner([](std::uint64_t) { return false; });
+  time.elapsed += seconds(2);
+  CHECK(placeAll(limit, cold, 100) == 0);
+}
+
+TEST_CASE("a bound too small to be divided lets nothing pass", "[cold_server_limit]") {
+  ManualTimeSource time;
+  ColdServerLimit limit({1.0, 0.0, seconds(0)}, time);
+  Backend cold = coldBackend(time);
+  cold.cold_flows_per_second = 3;
+  CHECK(placeAll(limit, cold, 100) == 0);
+}
+
+TEST_CASE("owners are few, and the same in every balancer that knows the fleet",
+          "[cold_server_limit]") {
+  ManualTimeSource time;
+  const auto random = makeSeededRandom(1);
+  const std::uint32_t fleet = GENERATE(as<std::uint32_t>(), 1, 2, 7, 89, 300);
+  std::map<std::uint64_t, std::size_t> owners;
+  std::vector<KnownPeer> all;
+  for (std::uint32_t address = 1; address <= fleet; ++address) {
+    all.push_back(Endpoint{address, 1});
+  }
+  constexpr std::uint64_t kServers = 50;
+  for (const KnownPeer& self : all) {
+    PeerDirectory directory({}, self, {}, time, *random);
+    directory.onTold(all);
+    for (std::uint64_t server = 1; server <= kServers; ++server) {
+      owners[server] += directory.isOwner(server, kOwnersOfColdServer) ? 1 : 0;
+    }
+  }
+  for (std::uint64_t server = 1; server <= kServers; ++server) {
+    CHECK(owners[server] >= 1);
+    CHECK(owners[server] <= kOwnersOfColdServer);
+  }
+}
+
+/** Balancers of which each knows a random part of one of two halves, and which restart at random.
+ */
+TEST_CASE("the sum of all balancers stays under the bound in any second", "[cold_server_limit]") {
+  rc::prop("two halves of a fleet, restarts, uneven load", [] {
+    ManualTimeSource time;
+    const auto random = makeSeededRandom(*rc::gen::inRange(1, 1000000));
+    const auto fleet = *rc::gen::inRange<std::uint32_t>(1, 24);
+    const auto split = *rc::gen::inRange<std::uint32_t>(0, fleet + 1);
+    const Backend cold = coldBackend(time);
+    std::vector<std::unique_ptr<PeerDirectory>> directories;
+    std::vector<std::unique_ptr<ColdServerLimit>> limits;
+    const auto start = [&](std::size_t index) {
+      auto limit = std::make_unique<ColdServerLimit>(ColdServerLimitSettings(), time);
+      PeerDirectory* directory = directories[index].get();
+      limit->setIsOwner([directory](std::uint64_t incarnation) {
+        return directory->isOwner(incarnation, kOwnersOfColdServer);
+      });
+      return limit;
+    };
+    for (std::uint32_t own = 0; own < fleet; ++own) {
+      directories.push_back(std::make_unique<PeerDirectory>(
+          PeerDirectorySettings(), Endpoint{own + 1, 1}, std::vector<Endpoint>(), time, *random));
+      for (std::uint32_t peer = 0; peer < fleet; ++peer) {
+        if ((own < split) == (peer < split)) {
+          directories.back()->onAlive({peer + 1, 1});
+        }
+      }
+      limits.push_back(start(own));
+    }
+    time.elapsed += seconds(6);
+    std::deque<MonotonicTime> sent;
+    for (int step = 0; step < 400; ++step) {
+      time.elapsed += milliseconds(static_cast<int>(random->below(40)));
+      const std::size_t index = random->below(fleet);
+      if (random->below(40) == 0) {
+        limits[index] = start(index);
+      }
+      const std::size_t placed = placeAll(*limits[index], cold, random->below(8));
+      sent.insert(sent.end(), placed, time.monotonicTime());
+      while (time.monotonicTime() - sent.front() > seconds(1) && !sent.empty()) {
+        sent.pop_front();
+      }
+      RC_ASSERT(sent.size() <= kBound);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace lugfork
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -93,7 +93,9 @@
       R"("backends":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}]},)"
       R"({"name":"r-b","host":"198.18.0.2","path_prefix":"/8080/","type":"upload",)"
       R"("service":"wuno96b"}],)"
-      R"("services":[],"limits":{"idle_timeout_ms":15000}})");
+      R"("services":[{"name":"huvo11a","warmup_s":2.0,"warmup_per_s":12.5},)"
+      R"({"name":"wuno96b","warmup_s":2.0,"warmup_per_s":0.0},{"name":"other"}],)"
+      R"("limits":{"idle_timeout_ms":15000}})");
   REQUIRE(record);
   const auto& table = std::get<RouteTable>(record.value());
   CHECK(table.version == 7);
@@ -104,6 +106,9 @@
   CHECK(table.routes[1].shares[0].service == "wuno96b");
   CHECK_FALSE(table.routes[0].bulk);
   CHECK(table.routes[1].bulk);
+  REQUIRE(table.warmups.size() == 1);
+  CHECK(table.warmups[0].service == "huvo11a");
+  CHECK(table.warmups[0].flows_per_minute == 750);
 }
 
 TEST_CASE("a broken configuration is refused whole", "[store_codec]") {
--- a/tests/wire/record_codec_test.cc
+++ b/tests/wire/record_codec_test.cc
@@ -36,7 +36,8 @@
 }
 
 TEST_CASE("routes, irrelevant items and problems are read as they were written", "[record_codec]") {
-  const RouteTable table{9, {{{0xc6120001, 443}, {{"listen", 90}, {"ingest", 10}}, true}}};
+  const RouteTable table{
+      9, {{{0xc6120001, 443}, {{"listen", 90}, {"ingest", 10}}, true}}, {{"listen", 750}}};
   const auto routes = kDecoder.decode("routes", encodeRecord(PlatformRecord(table)));
   REQUIRE(routes);
   const auto& read = std::get<RouteTable>(routes.value());
@@ -47,6 +48,8 @@
   CHECK(read.routes[0].shares[1].service == "ingest");
   CHECK(read.routes[0].shares[1].weight == 10);
   CHECK(read.routes[0].bulk);
+  REQUIRE(read.warmups.size() == 1);
+  CHECK(read.warmups[0].flows_per_minute == 750);
 
   const auto irrelevant = kDecoder.decode("x", encodeRecord(PlatformRecord(IrrelevantItem{})));
   REQUIRE(irrelevant);
