--- a/tests/discovery/split_feed_source_test.cc
+++ b/tests/discovery/split_feed_source_test.cc
@@ -9,7 +9,7 @@
 namespace lugfork {
 namespace {
 
-const std::string kServers = "servers/";
+const std::string kBackends = "backends/";
 const std::string kDocuments = "documents/";
 
 const std::string kAll = "all/";
@@ -26,7 +26,7 @@
   /** Comes to know both kinds of items at a revision, and watches on. */
   void begin(Revision after) {
     watch(after, milliseconds(1));
-    store.answerWatch(kServers, ItemChanges{{}, after});
+    store.answerWatch(kBackends, ItemChanges{{}, after});
     store.answerPage(kDocuments, ItemPage{{}, false, after});
     REQUIRE(answer.has_value());
     watch(after);
@@ -51,7 +51,7 @@
   ManualScheduler scheduler{time};
   ManualSource whole;
   ManualSource store;
-  SplitFeedSettings settings{kServers, kDocuments};
+  SplitFeedSettings settings{kBackends, kDocuments};
   SplitFeedSource source{settings, whole, store, scheduler, time};
   std::optional<Result<ItemChanges, SourceError>> answer;
 };
@@ -61,11 +61,11 @@
   harness.watch(10, milliseconds(1));
   CHECK_FALSE(harness.store.hasPage(kDocuments));
   CHECK(harness.store.watch_requests.back().after == 10);
-  harness.store.answerWatch(kServers, ItemChanges{{written("servers/a", 12)}, 14});
+  harness.store.answerWatch(kBackends, ItemChanges{{written("backends/a", 12)}, 14});
   CHECK_FALSE(harness.answer.has_value());
   harness.store.answerPage(kDocuments, ItemPage{{item("documents/routes", 3)}, false, 13});
   REQUIRE(harness.answer.has_value());
-  CHECK(harness.toldKeys() == std::vector<std::string>{"servers/a", "documents/routes"});
+  CHECK(harness.toldKeys() == std::vector<std::string>{"backends/a", "documents/routes"});
   CHECK(harness.answer->value().at == 13);
 }
 
@@ -76,7 +76,7 @@
   for (Revision revision = 11; revision < 20; ++revision) {
     CHECK(harness.store.watch_requests.back().prefix == kAll);
     CHECK(harness.store.watch_requests.back().after == revision - 1);
-    harness.store.answerWatch(kAll, ItemChanges{{written("servers/a", revision)}, revision});
+    harness.store.answerWatch(kAll, ItemChanges{{written("backends/a", revision)}, revision});
     CHECK(harness.answer->value().at == revision);
     harness.watch(revision);
     harness.scheduler.advance(harness.settings.pause);
@@ -110,9 +110,9 @@
   harness.begin(10);
   harness.moveDocuments();
   REQUIRE(harness.store.hasPage(kDocuments));
-  harness.store.answerWatch(kServers, ItemChanges{{written("servers/a", 12)}, 12});
+  harness.store.answerWatch(kBackends, ItemChanges{{written("backends/a", 12)}, 12});
   REQUIRE(harness.answer.has_value());
-  CHECK(harness.toldKeys() == std::vector<std::string>{"servers/a"});
+  CHECK(harness.toldKeys() == std::vector<std::string>{"backends/a"});
   // The documents are only known up to here.
   CHECK(harness.answer->value().at == 11);
 }
@@ -129,7 +129,7 @@
   harness.store.answerPage(kDocuments, ItemPage{{item("documents/routes", 30)}, false, 40});
   harness.watch(11);
   // The watch of the endpoints is still open; the next one covers all again, and misses nothing.
-  harness.store.answerWatch(kServers, ItemChanges{{}, 45});
+  harness.store.answerWatch(kBackends, ItemChanges{{}, 45});
   CHECK(harness.answer->value().at == 40);
   harness.watch(40);
   CHECK_FALSE(harness.store.hasPage(kDocuments));
@@ -168,14 +168,14 @@
       harness.store.watch_requests.size() + harness.store.page_requests.size();
   harness.watch(11);
   CHECK(harness.store.watch_requests.size() + harness.store.page_requests.size() == calls + 1);
-  CHECK(harness.store.watch_requests.back().prefix == kServers);
+  CHECK(harness.store.watch_requests.back().prefix == kBackends);
 }
 
 TEST_CASE("a burst of changes needs one watch for each pause", "[split_feed_source]") {
   SplitHarness harness;
   harness.begin(10);
   const std::uint64_t before = harness.source.counters().watches;
-  harness.store.answerWatch(kAll, ItemChanges{{written("servers/a", 11)}, 11});
+  harness.store.answerWatch(kAll, ItemChanges{{written("backends/a", 11)}, 11});
   harness.watch(11);
   CHECK(harness.source.counters().watches == before);
   harness.scheduler.advance(harness.settings.pause);
@@ -188,9 +188,9 @@
   harness.begin(10);
   harness.scheduler.advance(seconds(5));
   harness.watch(50, milliseconds(1));
-  CHECK(harness.store.watch_requests.back().prefix == kServers);
+  CHECK(harness.store.watch_requests.back().prefix == kBackends);
   CHECK(harness.store.watch_requests.back().after == 50);
-  harness.store.answerWatch(kServers, ItemChanges{{}, 52});
+  harness.store.answerWatch(kBackends, ItemChanges{{}, 52});
   CHECK_FALSE(harness.answer.has_value());
   harness.store.answerPage(kDocuments, ItemPage{{}, false, 51});
   REQUIRE(harness.answer.has_value());
