--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -32,14 +32,15 @@
     ++revision_;
     const std::uint64_t created = items_.contains(key) ? items_[key].created : revision_;
     items_[key] = {value, revision_, created};
-    deleted_.erase(key);
+    history_[revision_] = itemJson(key, items_[key]);
     changed_.notify_all();
   }
 
   void remove(const std::string& key) {
     const std::lock_guard lock(mutex_);
     items_.erase(key);
-    deleted_[key] = ++revision_;
+    ++revision_;
+    history_[revision_] = {{"key", key}, {"revision", revision_}, {"gone", true}};
     changed_.notify_all();
   }
 
@@ -47,7 +48,7 @@
   void forgetHistory() {
     const std::lock_guard lock(mutex_);
     history_from_ = revision_ + 1;
-    deleted_.clear();
+    history_.clear();
     changed_.notify_all();
   }
 
@@ -152,20 +153,11 @@
     if (after + 1 < history_from_) {
       return std::nullopt;
     }
-    std::map<std::uint64_t, nlohmann::json> events;
-    for (const auto& [key, item] : items_) {
-      if (key.starts_with(prefix) && item.revision > after) {
-        events[item.revision] = itemJson(key, item);
-      }
-    }
-    for (const auto& [key, revision] : deleted_) {
-      if (key.starts_with(prefix) && revision > after) {
-        events[revision] = {{"key", key}, {"revision", revision}, {"gone", true}};
-      }
-    }
     nlohmann::json body = {{"events", nlohmann::json::array()}, {"at", revision_}};
-    for (const auto& [revision, event] : events) {
-      body["events"].push_back(event);
+    for (auto event = history_.upper_bound(after); event != history_.end(); ++event) {
+      if (event->second["key"].get<std::string>().starts_with(prefix)) {
+        body["events"].push_back(event->second);
+      }
     }
     return body;
   }
@@ -173,7 +165,8 @@
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Stored> items_;
-  std::map<std::string, std::uint64_t> deleted_;
+  /** Every change as it was made, by its revision. */
+  std::map<std::uint64_t, nlohmann::json> history_;
   std::uint64_t revision_ = 0;
   std::uint64_t history_from_ = 0;
   int status_ = 200;
