--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -5,6 +5,7 @@
 
 #include "runtime/api_response.h"
 #include "runtime/program.h"
+#include "runtime/stop_signals.h"
 
 namespace lugfork {
 
@@ -70,6 +71,7 @@
       leave_timer_(settings_.leave),
       reload_(std::move(reload)) {
   awaitSignal();
+  deliverStopSignals();
   source_.setListener(this);
   split_store_.setKnownKeys(
       [this](const std::string& prefix) { return node_.follower().view().keysUnder(prefix); });
--- a/tests/platform/packetd_fixture.h
+++ b/tests/platform/packetd_fixture.h
@@ -6,11 +6,14 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <mutex>
 #include <optional>
 #include <random>
 #include <thread>
@@ -64,11 +67,17 @@
 
   int descriptor() const { return socket_; }
 
-  Bytes receive() {
+  Bytes receive() { return receiveFrom().first; }
+
+  /** @return a datagram and its sender; no bytes where none came in time. */
+  std::pair<Bytes, Endpoint> receiveFrom() {
     Bytes bytes(2048);
-    const auto size = ::recv(socket_, bytes.data(), bytes.size(), 0);
+    sockaddr_in from{};
+    socklen_t from_size = sizeof(from);
+    const auto size = ::recvfrom(socket_, bytes.data(), bytes.size(), 0,
+                                 reinterpret_cast<sockaddr*>(&from), &from_size);
     bytes.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
-    return bytes;
+    return {bytes, {ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)}};
   }
 
  private:
@@ -115,6 +124,7 @@
     std::uint16_t peer_port = 0;
     /** Where callers' packets come; unset for any free port. */
     Endpoint packet_address = {};
+    std::string zone = "lac";
   };
 
   explicit Packetd(Endpoint store, const std::vector<Endpoint>& seeds = {})
@@ -124,8 +134,8 @@
       : ready_{kLoopback, freeTcpPort()}, control_{peers.address, freeTcpPort()} {
     packet_ = peers.packet_address.isSet() ? peers.packet_address : TestSocket().address();
     std::string settings =
-        "name = \"n\"\nzone = \"lac\"\ntoken-key = \"" + kKey + "\"\nstore = \"" + toString(store) +
-        "\"\npacket-address = \"" + toString(packet_) + "\"\nready-address = \"" +
+        "name = \"n\"\nzone = \"" + peers.zone + "\"\ntoken-key = \"" + kKey + "\"\nstore = \"" +
+        toString(store) + "\"\npacket-address = \"" + toString(packet_) + "\"\nready-address = \"" +
         toString(ready_) + "\"\ncontrol-address = \"" + toString(control_) +
         "\"\nleave-minimum = 300\nleave-quiet = 100\nleave-maximum = 5000\nseeds = [";
     for (const Endpoint& seed : seeds) {
@@ -150,20 +160,67 @@
   Packetd(const Packetd&) = delete;
   Packetd& operator=(const Packetd&) = delete;
 
-  void start() {
+  /**
+   * Returns once the program has taken the place of the test's own copy.
+   * @param flags besides the settings file.
+   */
+  void start(const std::vector<std::string>& flags = {}) {
+    std::vector<const char*> arguments{LUGFORK_PACKETD, "--settings", settings_file_.c_str()};
+    for (const std::string& flag : flags) {
+      arguments.push_back(flag.c_str());
+    }
+    arguments.push_back(nullptr);
+    std::array<int, 2> until_exec{};
+    REQUIRE(::pipe2(until_exec.data(), O_CLOEXEC) == 0);
+    const std::lock_guard lock(mutex_);
     pid_ = ::fork();
     if (pid_ == 0) {
+      // Handlers of the test itself would be seen, and run, as the program's.
+      for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        ::signal(number, SIG_DFL);
+      }
       const int log = ::open(log_file_.c_str(), O_WRONLY | O_APPEND);
       ::dup2(log, STDOUT_FILENO);
-      ::execl(LUGFORK_PACKETD, LUGFORK_PACKETD, "--settings", settings_file_.c_str(), nullptr);
+      ::execv(LUGFORK_PACKETD, const_cast<char* const*>(arguments.data()));
       _exit(127);
     }
+    ::close(until_exec[1]);
+    char none = 0;
+    while (::read(until_exec[0], &none, 1) < 0 && errno == EINTR) {
+    }
+    ::close(until_exec[0]);
+  }
+
+  /**
+   * @return whether the process can't be ended by a signal's default: it blocks the signal or has a
+   * handler, as from its first line on, or it has ended before.
+   */
+  bool holdsOrHandles(int number) const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    const std::uint64_t bit = std::uint64_t{1} << (number - 1);
+    bool holds = false;
+    for (std::string line; std::getline(status, line);) {
+      const bool has_ended = line.starts_with("State:\tZ");
+      const bool is_mask = line.starts_with("SigBlk:") || line.starts_with("SigCgt:");
+      holds =
+          holds || has_ended || (is_mask && (std::stoull(line.substr(7), nullptr, 16) & bit) != 0);
+    }
+    return holds;
   }
 
-  void signal(int number) const { ::kill(pid_, number); }
+  /** To a process that has ended nothing is sent: no process and the test's own group share 0. */
+  void signal(int number) const {
+    const std::lock_guard lock(mutex_);
+    if (pid_ > 0) {
+      ::kill(pid_, number);
+    }
+  }
 
   /** @return the exit code, or minus the number of the signal that ended the process. */
   int wait() {
+    siginfo_t ended{};
+    ::waitid(P_PID, static_cast<id_t>(pid_), &ended, WEXITED | WNOWAIT);
+    const std::lock_guard lock(mutex_);
     int status = 0;
     ::waitpid(pid_, &status, 0);
     return onEnd(status);
@@ -171,6 +228,7 @@
 
   /** @return what wait() would, or nothing while the process runs. */
   std::optional<int> tryWait() {
+    const std::lock_guard lock(mutex_);
     int status = 0;
     if (::waitpid(pid_, &status, WNOHANG) != pid_) {
       return std::nullopt;
@@ -245,6 +303,8 @@
   Endpoint packet_;
   std::string settings_file_;
   std::string log_file_;
+  /** Other threads send signals too: not to a process whose number is free again. */
+  mutable std::mutex mutex_;
   pid_t pid_ = 0;
 };
 
--- a/tests/platform/soak/node_fleet.h
+++ b/tests/platform/soak/node_fleet.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <list>
+#include <set>
 #include <thread>
 
 #include "platform/packetd_fixture.h"
@@ -103,7 +104,7 @@
     if (!node.running || node.paused) {
       return;
     }
-    node.process->signal(SIGTERM);
+    signal(node, SIGTERM);
     if (!std::exchange(node.stopping, true)) {
       node.stopping_since = SoakClock::now();
     }
@@ -111,7 +112,7 @@
 
   void reload(std::uint32_t target) {
     if (at(target).running) {
-      at(target).process->signal(SIGHUP);
+      signal(at(target), SIGHUP);
     }
   }
 
@@ -123,7 +124,7 @@
       }
       if (const auto exit_code = node.process->tryWait()) {
         node.stopping = false;
-        if (endedBeforeItWasUp(node, *exit_code)) {
+        if (endedBeforeItBegan(node, *exit_code)) {
           ++ended_while_starting_;
           start(node);
           continue;
@@ -136,7 +137,7 @@
     }
   }
 
-  /** @return balancers that a signal ended before their program could take it. */
+  /** @return balancers that a signal ended before the first line of their program. */
   std::size_t endedWhileStarting() const { return ended_while_starting_; }
 
   /** @return the most memory that the processes that run now have used together [KB]. */
@@ -159,8 +160,8 @@
     bool stopping = false;
     bool paused = false;
     std::atomic<bool> ready = false;
-    /** Since its last start. */
-    std::atomic<bool> has_been_ready = false;
+    /** Signals that came since its last start, before its program held or handled them. */
+    std::set<int> signals_before_it_began;
     SoakTime stopping_since;
   };
 
@@ -172,17 +173,23 @@
   /** Balancers whose connections are used: a thread can use a few at a time. */
   static constexpr std::size_t kConnectionsUsed = 6;
 
+  static void signal(Node& node, int number) {
+    if (!node.process->holdsOrHandles(number)) {
+      node.signals_before_it_began.insert(number);
+    }
+    node.process->signal(number);
+  }
+
   /**
-   * A signal that comes before a program has set its handlers ends it by the system's own default.
-   * Such a balancer has served nobody; only these two signals excuse it.
+   * A signal ends a process by the system's own default where not one line of its program has run:
+   * nothing was accepted, no flow is open. Any other end by a signal is a breach.
    */
-  static bool endedBeforeItWasUp(const Node& node, int exit_code) {
-    const bool by_own_signal = exit_code == -SIGTERM || exit_code == -SIGHUP;
-    return by_own_signal && !node.has_been_ready;
+  static bool endedBeforeItBegan(const Node& node, int exit_code) {
+    return node.signals_before_it_began.contains(-exit_code);
   }
 
   static void start(Node& node) {
-    node.has_been_ready = false;
+    node.signals_before_it_began.clear();
     node.process->start();
     node.running = true;
   }
@@ -206,7 +213,6 @@
     while (!ended_) {
       for (Node& node : nodes_) {
         node.ready = node.process->readyStatus() == 200;
-        node.has_been_ready = node.has_been_ready || node.ready;
       }
       std::this_thread::sleep_for(kReadinessInterval);
     }
