--- /dev/null
+++ b/scripts/processor-budget.py
@@ -0,0 +1,238 @@
+#!/usr/bin/env python3
+"""Prints what lugfork-packetd costs in processor time, measured on the real daemon beside a small store.
+
+    scripts/processor-budget.py [--repeat N] [--servers N] [--daemon PROGRAM]
+
+A node with 0.027 of a core waits 37 ms for each millisecond of this table. Times are those of the
+whole process (all its threads), as the system's scheduler counts them; of repeated starts the median
+and the lowest are given, as other work on the machine only ever adds. Fetches and lines are the
+difference between many and none, divided.
+"""
+import argparse
+import base64
+import http.server
+import json
+import os
+import signal
+import socket
+import statistics
+import subprocess
+import tempfile
+import threading
+import time
+import urllib.parse
+import urllib.request
+
+LOOPBACK = "127.0.0.1"
+PATIENCE_S = 20
+BAD_PACKETS = 3000
+# Lines that a quiet component may write at once, whatever its rate.
+LINES_AT_ONCE = 200
+FETCHES = 200
+IDLE_S = 5
+
+
+class Store(http.server.ThreadingHTTPServer):
+    """Answers reads of a view that never changes; watches are held until their time is over."""
+
+    daemon_threads = True
+
+    def __init__(self, servers):
+        super().__init__((LOOPBACK, 0), StoreHandler)
+        items = [("op/config", {"version": 1, "routes": [
+            {"host": "198.18.0.1", "path_prefix": "/443/", "service": "s"}]})]
+        for index in range(servers):
+            items.append((f"servers/i-{index + 1:010x}", {
+                "service": "s", "address": f"127.1.{index // 250}.{index % 250 + 1}:9000", "zone": "z",
+                "version": "v", "capacity": 2, "state": "ready", "warmup_left_ms": 0, "seq": 1}))
+        self.items = [{"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode(),
+                       "revision": index + 1, "created": index + 1, "lease": 0}
+                      for index, (key, value) in enumerate(sorted(items, key=lambda item: item[0]))]
+
+
+class StoreHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        url = urllib.parse.urlparse(self.path)
+        query = {key: values[0] for key, values in urllib.parse.parse_qs(url.query).items()}
+        at = len(self.server.items)
+        if url.path == "/kv-range":
+            body = self.page(query.get("path_prefix", ""), query.get("after", ""), at)
+        else:
+            time.sleep(int(query.get("wait_ms", "0")) / 1000)
+            body = {"events": [], "at": at}
+        data = json.dumps(body).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def handle(self):
+        try:
+            super().handle()
+        except ConnectionError:
+            # The daemon was killed while its call was held.
+            pass
+
+    def page(self, prefix, after, at):
+        items = [item for item in self.server.items
+                 if item["key"].startswith(prefix) and item["key"] > after]
+        return {"items": items[:500], "more": len(items) > 500, "at": at}
+
+    def log_message(self, *_):
+        pass
+
+
+def free_port(kind):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((LOOPBACK, 0))
+        return probe.getsockname()[1]
+
+
+class Daemon:
+    """One lugfork-packetd with its log on a pipe."""
+
+    def __init__(self, program, store, *flags):
+        self.packet = (LOOPBACK, free_port(socket.SOCK_DGRAM))
+        self.control = f"{LOOPBACK}:{free_port(socket.SOCK_STREAM)}"
+        settings = {"name": "n", "zone": "z", "token-key": "00112233445566778899aabbccddeeff",
+                    "store": "%s:%d" % store.server_address, "packet-address": "%s:%d" % self.packet,
+                    "ready-address": f"{LOOPBACK}:{free_port(socket.SOCK_STREAM)}",
+                    "control-address": self.control,
+                    "peer-address": f"{LOOPBACK}:{free_port(socket.SOCK_DGRAM)}"}
+        with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
+            file.writelines(f'{key} = "{value}"\n' for key, value in settings.items())
+        self.settings_file = file.name
+        self.process = subprocess.Popen([program, "--settings", file.name, *flags], stdout=subprocess.PIPE)
+        self.cost_at = {}
+        self.came = {name: threading.Event() for name in ("started", "view_complete")}
+        threading.Thread(target=self.read_log, daemon=True).start()
+
+    def read_log(self):
+        for line in self.process.stdout:
+            event = json.loads(line)["event"]
+            if event in self.came and event not in self.cost_at:
+                self.cost_at[event] = self.processor_ms()
+                self.came[event].set()
+
+    def until(self, event):
+        if not self.came[event].wait(PATIENCE_S):
+            raise RuntimeError(f"no line {event} within {PATIENCE_S} s")
+        return self.cost_at[event]
+
+    def threads(self):
+        return f"/proc/{self.process.pid}/task"
+
+    def processor_ms(self):
+        total = 0
+        for thread in os.listdir(self.threads()):
+            with open(f"{self.threads()}/{thread}/schedstat", encoding="ascii") as file:
+                total += int(file.read().split()[0])
+        return total / 1e6
+
+    def wake_ups(self):
+        total = 0
+        for thread in os.listdir(self.threads()):
+            with open(f"{self.threads()}/{thread}/status", encoding="ascii") as file:
+                total += sum(int(line.split()[1]) for line in file if "ctxt_switches" in line)
+        return total
+
+    def stop(self):
+        self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+        os.unlink(self.settings_file)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+
+def settle(daemon):
+    daemon.until("view_complete")
+    time.sleep(1)
+
+
+def version_cost(program):
+    process = subprocess.Popen([program, "--version"], stdout=subprocess.DEVNULL)
+    _, _, usage = os.wait4(process.pid, 0)
+    process.returncode = 0
+    return (usage.ru_utime + usage.ru_stime) * 1000
+
+
+def start_costs(program, store, repeat):
+    bound, complete = [], []
+    for _ in range(repeat):
+        with Daemon(program, store) as daemon:
+            complete.append(daemon.until("view_complete"))
+            bound.append(daemon.until("started"))
+    return bound, complete
+
+
+def bad_packets_cost(program, store, lines_per_second):
+    """@return processor time of packets that can't be read, each with a line as far as the limit allows."""
+    with Daemon(program, store, "--log-lines-per-second", str(lines_per_second)) as daemon:
+        settle(daemon)
+        before = daemon.processor_ms()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for _ in range(BAD_PACKETS):
+                sender.sendto(b"bad", daemon.packet)
+                time.sleep(0.0002)
+        time.sleep(0.3)
+        return daemon.processor_ms() - before
+
+
+def line_cost(program, store):
+    written = bad_packets_cost(program, store, 100000)
+    left_out = bad_packets_cost(program, store, 1)
+    return (written - left_out) / (BAD_PACKETS - LINES_AT_ONCE)
+
+
+def fetch_cost(program, store):
+    with Daemon(program, store) as daemon:
+        settle(daemon)
+        before = daemon.processor_ms()
+        for _ in range(FETCHES):
+            urllib.request.urlopen(f"http://{daemon.control}/metrics").read()
+        return (daemon.processor_ms() - before) / FETCHES
+
+
+def idle_cost(program, store):
+    with Daemon(program, store) as daemon:
+        settle(daemon)
+        cost, wakes = daemon.processor_ms(), daemon.wake_ups()
+        time.sleep(IDLE_S)
+        return (daemon.processor_ms() - cost) / IDLE_S, (daemon.wake_ups() - wakes) / IDLE_S
+
+
+def show(name, values):
+    print(f"{name:42} {statistics.median(values):8.3f} {min(values):8.3f}")
+
+
+def main():
+    here = os.path.dirname(os.path.abspath(__file__))
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--repeat", type=int, default=20, help="starts that are measured")
+    parser.add_argument("--servers", type=int, default=150, help="servers of the view")
+    parser.add_argument("--daemon", default=os.path.join(here, "../build/lugfork-packetd"))
+    arguments = parser.parse_args()
+    program = os.path.abspath(arguments.daemon)
+    store = Store(arguments.servers)
+    threading.Thread(target=store.serve_forever, daemon=True).start()
+
+    print(f"{'processor time [ms]':42} {'median':>8} {'lowest':>8}")
+    show("--version, to its end", [version_cost(program) for _ in range(arguments.repeat)])
+    bound, complete = start_costs(program, store, arguments.repeat)
+    show("exec to bound sockets (line started)", bound)
+    show(f"exec to a view of {arguments.servers} servers", complete)
+    show("one log line", [line_cost(program, store)])
+    show("one fetch of metrics", [fetch_cost(program, store)])
+    cost, wakes = idle_cost(program, store)
+    show("one idle second", [cost])
+    print(f"{'wake-ups in one idle second':42} {wakes:8.1f}")
+
+
+if __name__ == "__main__":
+    main()
