--- a/scripts/processor-budget.py
+++ b/scripts/processor-budget.py
@@ -30,6 +30,8 @@
 LINES_AT_ONCE = 200
 FETCHES = 200
 IDLE_S = 5
+# The log's appender is loaded before what is measured, as in a node that has run for a while.
+STEADY = ("--log-appender-delay", "0")
 
 
 class Store(http.server.ThreadingHTTPServer):
@@ -173,7 +175,7 @@
 
 def bad_packets_cost(program, store, lines_per_second):
     """@return processor time of packets that can't be read, each with a line as far as the limit allows."""
-    with Daemon(program, store, "--log-lines-per-second", str(lines_per_second)) as daemon:
+    with Daemon(program, store, *STEADY, "--log-lines-per-second", str(lines_per_second)) as daemon:
         settle(daemon)
         before = daemon.processor_ms()
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
@@ -191,7 +193,7 @@
 
 
 def fetch_cost(program, store):
-    with Daemon(program, store) as daemon:
+    with Daemon(program, store, *STEADY) as daemon:
         settle(daemon)
         before = daemon.processor_ms()
         for _ in range(FETCHES):
@@ -200,7 +202,7 @@
 
 
 def idle_cost(program, store):
-    with Daemon(program, store) as daemon:
+    with Daemon(program, store, *STEADY) as daemon:
         settle(daemon)
         cost, wakes = daemon.processor_ms(), daemon.wake_ups()
         time.sleep(IDLE_S)
--- a/src/programs/lugforkd.cc
+++ b/src/programs/lugforkd.cc
@@ -108,6 +108,7 @@
     log_settings.node = settings.node.name;
     log_settings.zone = settings.node.zone;
     JsonEventLog log(log_settings);
+    log.connectAppender();
     NodeDaemon daemon(settings, log);
     daemon.run();
     return kExitSuccess;
--- a/src/runtime/json_event_log.cc
+++ b/src/runtime/json_event_log.cc
@@ -1,120 +1,77 @@
 #include "runtime/json_event_log.h"
 
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/logger.h>
-#include <log4cxx/logmanager.h>
-#include <log4cxx/patternlayout.h>
+#include <atomic>
 
-#include <poll.h>
-#include <unistd.h>
-
-#include <chrono>
-#include <iomanip>
-#include <nlohmann/json.hpp>
-#include <sstream>
+#include "runtime/log_appender.h"
+#include "runtime/standard_output.h"
 
 namespace lugfork {
 
 namespace {
 
-log4cxx::LevelPtr toLog4cxxLevel(LogLevel level) {
-  switch (level) {
-    case LogLevel::Debug:
-      return log4cxx::Level::getDebug();
-    case LogLevel::Info:
-      return log4cxx::Level::getInfo();
-    case LogLevel::Warn:
-      return log4cxx::Level::getWarn();
-    case LogLevel::Error:
-      return log4cxx::Level::getError();
-  }
-  return log4cxx::Level::getInfo();
-}
+/** Read on all threads that log, set where the settings are read again. */
+std::atomic<LogLevel> lowest_level = LogLevel::Info;
 
-const char* levelName(LogLevel level) {
-  switch (level) {
-    case LogLevel::Debug:
-      return "debug";
-    case LogLevel::Info:
-      return "info";
-    case LogLevel::Warn:
-      return "warn";
-    case LogLevel::Error:
-      return "error";
+/** @param name as the settings check it. */
+LogLevel levelOf(std::string_view name) {
+  if (name == "error") {
+    return LogLevel::Error;
   }
-  return "info";
-}
-
-log4cxx::LoggerPtr componentLogger(std::string_view component) {
-  return log4cxx::Logger::getLogger("lugfork." + std::string(component));
-}
-
-/** @return true if a line can be written without waiting: a pipe then takes PIPE_BUF bytes. */
-bool outputHasRoom() {
-  pollfd output{STDOUT_FILENO, POLLOUT, 0};
-  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+  if (name == "warn") {
+    return LogLevel::Warn;
+  }
+  return name == "info" ? LogLevel::Info : LogLevel::Debug;
 }
 
-/** @return the wall-clock time in UTC as RFC 3339 writes it, to the millisecond. */
-std::string timestamp() {
-  const auto now = std::chrono::system_clock::now();
-  const auto since_epoch =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
-  const std::time_t whole_seconds = std::chrono::system_clock::to_time_t(now);
-  std::tm parts{};
-  gmtime_r(&whole_seconds, &parts);
-  std::ostringstream text;
-  text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%S") << '.' << std::setw(3) << std::setfill('0')
-       << since_epoch % 1000 << 'Z';
-  return text.str();
+SystemTime systemNow() {
+  return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
 }
 
 }  // namespace
 
 void setLogLevel(const std::string& level) {
-  log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(level));
+  lowest_level = levelOf(level);
 }
 
-JsonEventLog::JsonEventLog(LogSettings settings) : settings_(std::move(settings)) {
-  const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-  const auto appender =
-      std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
-  const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
-  root->removeAllAppenders();
-  root->addAppender(appender);
-  setLogLevel(settings_.level);
-  for (const auto& [component, level] : settings_.component_levels) {
-    componentLogger(component)->setLevel(log4cxx::Level::toLevel(level));
+JsonEventLog::JsonEventLog(const LogSettings& settings)
+    : line_({settings.program, settings.node, settings.zone}),
+      output_(std::make_unique<StandardOutput>()) {
+  setLogLevel(settings.level);
+  for (const auto& [component, level] : settings.component_levels) {
+    component_levels_[component] = levelOf(level);
   }
 }
 
+void JsonEventLog::connectAppender() {
+  auto appender = loadLogAppender();
+  if (!appender) {
+    write(LogLevel::Warn, "daemon", "log_appender_missing", {{"problem", appender.error()}});
+    return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    output_ = std::move(appender.value());
+  }
+  write(LogLevel::Debug, "daemon", "log_appender_loaded", {});
+}
+
+bool JsonEventLog::isWritten(LogLevel level, std::string_view component) const {
+  const auto found = component_levels_.find(component);
+  return level >= (found == component_levels_.end() ? lowest_level.load() : found->second);
+}
+
 void JsonEventLog::write(LogLevel level, std::string_view component, std::string_view event,
                          std::initializer_list<LogField> fields) {
-  const log4cxx::LoggerPtr logger = componentLogger(component);
-  const log4cxx::LevelPtr log4cxx_level = toLog4cxxLevel(level);
-  if (!logger->isEnabledFor(log4cxx_level)) {
+  if (!isWritten(level, component)) {
     return;
   }
-  if (!outputHasRoom()) {
+  const std::lock_guard lock(mutex_);
+  if (!standardOutputHasRoom()) {
     ++left_out_;
     return;
   }
-  nlohmann::ordered_json line;
-  line["time"] = timestamp();
-  line["level"] = levelName(level);
-  line["program"] = settings_.program;
-  line["component"] = component;
-  line["node"] = settings_.node;
-  line["zone"] = settings_.zone;
-  line["event"] = event;
-  for (const LogField& field : fields) {
-    std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
-  }
-  if (left_out_ > 0) {
-    line["lines_left_out_before"] = left_out_.exchange(0);
-  }
-  const auto replace = nlohmann::ordered_json::error_handler_t::replace;
-  logger->forcedLog(log4cxx_level, line.dump(-1, ' ', false, replace));
+  const std::string& line = line_.build(systemNow(), {level, component, event, fields, left_out_});
+  left_out_ = output_->write(line) ? 0 : left_out_ + 1;
 }
 
 }  // namespace lugfork
--- a/src/runtime/json_event_log.h
+++ b/src/runtime/json_event_log.h
@@ -1,10 +1,12 @@
 #pragma once
 
-#include <atomic>
 #include <map>
+#include <memory>
+#include <mutex>
 #include <string>
 
-#include "common/event_log.h"
+#include "runtime/json_log_line.h"
+#include "runtime/log_output.h"
 
 namespace lugfork {
 
@@ -23,19 +25,29 @@
 void setLogLevel(const std::string& level);
 
 /**
- * EventLog that writes one JSON object a line to standard output through log4cxx. Never
- * waits for a reader: a line that the output has no room for is left out.
+ * EventLog that writes one JSON object a line to standard output, by itself until connectAppender()
+ * and through log4cxx from then on. Never waits for a reader: a line that the output has no room
+ * for is left out. Safe to use from several threads.
  */
 class JsonEventLog : public EventLog {
  public:
-  explicit JsonEventLog(LogSettings settings);
+  explicit JsonEventLog(const LogSettings& settings);
+
+  /** Loads log4cxx's appender; where that can't be had, says so in a line and goes on without it.
+   */
+  void connectAppender();
 
   void write(LogLevel level, std::string_view component, std::string_view event,
              std::initializer_list<LogField> fields) override;
 
  private:
-  const LogSettings settings_;
-  std::atomic<std::uint64_t> left_out_ = 0;
+  bool isWritten(LogLevel level, std::string_view component) const;
+
+  std::map<std::string, LogLevel, std::less<>> component_levels_;
+  std::mutex mutex_;
+  JsonLogLine line_;
+  std::unique_ptr<LogOutput> output_;
+  std::uint64_t left_out_ = 0;
 };
 
 }  // namespace lugfork
--- /dev/null
+++ b/src/runtime/json_log_line.cc
@@ -0,0 +1,133 @@
+#include "runtime/json_log_line.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <ctime>
+#include <nlohmann/json.hpp>
+
+namespace lugfork {
+
+namespace {
+
+constexpr std::int64_t kMillisecondsInSecond = 1000;
+
+std::string_view levelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::Debug:
+      return "debug";
+    case LogLevel::Info:
+      return "info";
+    case LogLevel::Warn:
+      return "warn";
+    case LogLevel::Error:
+      return "error";
+  }
+  return "info";
+}
+
+/** @return true if the character stands for itself in a JSON string and is one byte of UTF-8. */
+bool isPlain(char character) {
+  constexpr char kFirstPrintable = ' ';
+  constexpr char kLastAscii = 0x7f;
+  return character >= kFirstPrintable && character <= kLastAscii && character != '"' &&
+         character != '\\';
+}
+
+/** @return the time in UTC as RFC 3339 writes it, without the fraction of the second. */
+std::string secondText(std::time_t time) {
+  constexpr std::size_t kLongest = 32;
+  std::tm parts{};
+  gmtime_r(&time, &parts);
+  std::array<char, kLongest> text{};
+  const std::size_t size = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  return {text.data(), size};
+}
+
+void appendNumber(std::string& line, std::int64_t number) {
+  constexpr std::size_t kMostDigits = 20;
+  std::array<char, kMostDigits> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number);
+  line.append(digits.data(), end.ptr);
+}
+
+void appendValue(std::string& line, const std::string& text) {
+  appendJsonString(line, text);
+}
+
+void appendValue(std::string& line, std::int64_t number) {
+  appendNumber(line, number);
+}
+
+void appendValue(std::string& line, double number) {
+  line += nlohmann::json(number).dump();
+}
+
+void appendValue(std::string& line, bool flag) {
+  line += flag ? "true" : "false";
+}
+
+}  // namespace
+
+void appendJsonString(std::string& line, std::string_view text) {
+  if (!std::all_of(text.begin(), text.end(), isPlain)) {
+    line += nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return;
+  }
+  line += '"';
+  line += text;
+  line += '"';
+}
+
+JsonLogLine::JsonLogLine(const LogOrigin& origin) {
+  program_ = R"(","program":)";
+  appendJsonString(program_, origin.program);
+  program_ += R"(,"component":)";
+  node_and_zone_ = R"(,"node":)";
+  appendJsonString(node_and_zone_, origin.node);
+  node_and_zone_ += R"(,"zone":)";
+  appendJsonString(node_and_zone_, origin.zone);
+  node_and_zone_ += R"(,"event":)";
+}
+
+const std::string& JsonLogLine::build(SystemTime now, const LogEvent& event) {
+  line_.clear();
+  appendTime(now);
+  line_ += levelName(event.level);
+  line_ += program_;
+  appendJsonString(line_, event.component);
+  line_ += node_and_zone_;
+  appendJsonString(line_, event.name);
+  for (const LogField& field : event.fields) {
+    appendField(field);
+  }
+  if (event.left_out_before > 0) {
+    appendField({"lines_left_out_before", event.left_out_before});
+  }
+  line_ += "}\n";
+  return line_;
+}
+
+void JsonLogLine::appendTime(SystemTime now) {
+  const auto now_ms = static_cast<std::int64_t>(toUnixMilliseconds(now));
+  const std::int64_t second = now_ms / kMillisecondsInSecond;
+  if (second != second_) {
+    second_ = second;
+    second_text_ = R"({"time":")" + secondText(second) + '.';
+  }
+  line_ += second_text_;
+  const std::int64_t fraction = now_ms % kMillisecondsInSecond;
+  line_ += static_cast<char>('0' + fraction / 100);
+  line_ += static_cast<char>('0' + fraction / 10 % 10);
+  line_ += static_cast<char>('0' + fraction % 10);
+  line_ += R"(Z","level":")";
+}
+
+void JsonLogLine::appendField(const LogField& field) {
+  line_ += ',';
+  appendJsonString(line_, field.name);
+  line_ += ':';
+  std::visit([this](const auto& value) { appendValue(line_, value); }, field.value);
+}
+
+}  // namespace lugfork
