--- a/scripts/processor-budget.py
+++ b/scripts/processor-budget.py
@@ -30,6 +30,8 @@
 LINES_AT_ONCE = 200
 FETCHES = 200
 IDLE_S = 5
+# Of the clocks of another process that clock_gettime() knows, the scheduler's.
+SCHEDULER_CLOCK = 2
 # The log's appender is loaded before what is measured, as in a node that has run for a while.
 STEADY = ("--log-appender-delay", "0")
 
@@ -113,9 +115,11 @@
 
     def read_log(self):
         for line in self.process.stdout:
-            event = json.loads(line)["event"]
+            fields = json.loads(line)
+            event = fields["event"]
             if event in self.came and event not in self.cost_at:
-                self.cost_at[event] = self.processor_ms()
+                told = fields.get("processor_us")
+                self.cost_at[event] = self.processor_ms() if told is None else told / 1000
                 self.came[event].set()
 
     def until(self, event):
@@ -127,11 +131,9 @@
         return f"/proc/{self.process.pid}/task"
 
     def processor_ms(self):
-        total = 0
-        for thread in os.listdir(self.threads()):
-            with open(f"{self.threads()}/{thread}/schedstat", encoding="ascii") as file:
-                total += int(file.read().split()[0])
-        return total / 1e6
+        # The process's own clock: what /proc says lags behind by up to a tick of the scheduler.
+        clock = (~self.process.pid << 3) | SCHEDULER_CLOCK
+        return time.clock_gettime_ns(clock) / 1e6
 
     def wake_ups(self):
         total = 0
--- a/src/config/toml_settings.cc
+++ b/src/config/toml_settings.cc
@@ -2,6 +2,7 @@
 
 #include <toml++/toml.h>
 
+#include <iterator>
 #include <sstream>
 
 namespace lugfork {
@@ -53,7 +54,9 @@
   std::vector<CLI::ConfigItem> from_config(std::istream& input) const override {
     std::vector<CLI::ConfigItem> entries;
     try {
-      const toml::table table = toml::parse(input);
+      // Read first: toml++ goes back to the stream's beginning, which a pipe can't.
+      const std::string text{std::istreambuf_iterator<char>(input), {}};
+      const toml::table table = toml::parse(text);
       for (const auto& [key, node] : table) {
         const std::string name(key.str());
         requireKnown(name, key.source().begin.line);
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -1,9 +1,10 @@
 #include "runtime/http_server.h"
 
-#include <CivetServer.h>
+#include <civetweb.h>
 #include <sodium.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -28,8 +29,12 @@
 }
 
 std::string urlDecode(const std::string& text) {
-  std::string decoded;
-  CivetServer::urlDecode(text, decoded);
+  constexpr int kPlusIsSpace = 1;
+  // What is decoded is no longer than the text; CivetWeb adds the end of the text.
+  std::string decoded(text.size() + 1, '\0');
+  const int size = mg_url_decode(text.data(), static_cast<int>(text.size()), decoded.data(),
+                                 static_cast<int>(decoded.size()), kPlusIsSpace);
+  decoded.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
   return decoded;
 }
 
@@ -109,45 +114,6 @@
   return response;
 }
 
-class CatchAllHandler : public CivetHandler {
- public:
-  CatchAllHandler(HttpServer::Handler handler, HttpServerSecurity security)
-      : handler_(std::move(handler)), security_(std::move(security)) {}
-
-  bool handleGet(CivetServer*, mg_connection* connection) override { return handle(connection); }
-  bool handlePost(CivetServer*, mg_connection* connection) override { return handle(connection); }
-  bool handlePut(CivetServer*, mg_connection* connection) override { return handle(connection); }
-  bool handleDelete(CivetServer*, mg_connection* connection) override { return handle(connection); }
-
- private:
-  bool handle(mg_connection* connection) {
-    const HttpRequest request = readRequest(connection);
-    writeResponse(connection, isAuthorized(request) ? answer(request) : unauthorized());
-    return true;
-  }
-
-  /** The threads are CivetWeb's: an exception that reached them would end the process. */
-  HttpResponse answer(const HttpRequest& request) const {
-    try {
-      return handler_(request);
-    } catch (const std::exception&) {
-      return serverProblem(kInternalError, "the request could not be answered");
-    }
-  }
-
-  bool isAuthorized(const HttpRequest& request) const {
-    if (security_.bearer_token.empty() || security_.open_paths.contains(request.path)) {
-      return true;
-    }
-    const auto header = request.headers.find("authorization");
-    return header != request.headers.end() &&
-           sameSecret(header->second, "Bearer " + security_.bearer_token);
-  }
-
-  HttpServer::Handler handler_;
-  const HttpServerSecurity security_;
-};
-
 /** @throws std::runtime_error where CivetWeb can't use the machine's OpenSSL. */
 void requireTls() {
   if ((mg_init_library(MG_FEATURES_SSL) & MG_FEATURES_SSL) == 0) {
@@ -182,8 +148,63 @@
   std::jthread thread_;
 };
 
+/** The texts of CivetWeb's options, as it takes them: names and values by turns, then null. */
+std::vector<const char*> optionPointers(const std::vector<std::string>& options) {
+  std::vector<const char*> pointers;
+  pointers.reserve(options.size() + 1);
+  for (const std::string& option : options) {
+    pointers.push_back(option.c_str());
+  }
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
 }  // namespace
 
+/** One handler for all paths. */
+class HttpServer::RequestAnswerer {
+ public:
+  RequestAnswerer(Handler handler, HttpServerSecurity security)
+      : handler_(std::move(handler)), security_(std::move(security)) {}
+
+  /** What CivetWeb calls. @return 0 to leave the request to CivetWeb, which refuses it. */
+  static int onRequest(mg_connection* connection, void* answerer) {
+    const std::string_view method = mg_get_request_info(connection)->request_method;
+    if (method != "GET" && method != "POST" && method != "PUT" && method != "DELETE") {
+      return 0;
+    }
+    static_cast<const RequestAnswerer*>(answerer)->handle(connection);
+    return 1;
+  }
+
+ private:
+  void handle(mg_connection* connection) const {
+    const HttpRequest request = readRequest(connection);
+    writeResponse(connection, isAuthorized(request) ? answer(request) : unauthorized());
+  }
+
+  /** The threads are CivetWeb's: an exception that reached them would end the process. */
+  HttpResponse answer(const HttpRequest& request) const {
+    try {
+      return handler_(request);
+    } catch (const std::exception&) {
+      return serverProblem(kInternalError, "the request could not be answered");
+    }
+  }
+
+  bool isAuthorized(const HttpRequest& request) const {
+    if (security_.bearer_token.empty() || security_.open_paths.contains(request.path)) {
+      return true;
+    }
+    const auto header = request.headers.find("authorization");
+    return header != request.headers.end() &&
+           sameSecret(header->second, "Bearer " + security_.bearer_token);
+  }
+
+  const Handler handler_;
+  const HttpServerSecurity security_;
+};
+
 HttpServer::HttpServer(Endpoint address, Handler handler, HttpServerSecurity security,
                        HttpServerLimits limits)
     : address_(address) {
@@ -201,18 +222,18 @@
     requireTls();
     options.insert(options.end(), {"ssl_certificate", security.certificate_file});
   }
-  handler_ = std::make_unique<CatchAllHandler>(std::move(handler), std::move(security));
-  try {
-    server_ = std::make_unique<CivetServer>(options);
-  } catch (const CivetException& error) {
-    throw std::runtime_error("HTTP server at " + toString(address) + ": " + error.what());
+  answerer_ = std::make_unique<RequestAnswerer>(std::move(handler), std::move(security));
+  const mg_callbacks no_callbacks{};
+  server_ = mg_start(&no_callbacks, nullptr, optionPointers(options).data());
+  if (server_ == nullptr) {
+    throw std::runtime_error("HTTP server at " + toString(address) + " can't be started");
   }
-  server_->addHandler("/", handler_.get());
+  mg_set_request_handler(server_, "/", &RequestAnswerer::onRequest, answerer_.get());
 }
 
 HttpServer::~HttpServer() {
   const AcceptWaker waker(localAddress());
-  server_->close();
+  mg_stop(server_);
 }
 
 void closeWhileServing(boost::asio::io_context& io_context, std::unique_ptr<HttpServer>& server) {
@@ -228,7 +249,10 @@
 }
 
 Endpoint HttpServer::localAddress() const {
-  const auto port = static_cast<std::uint16_t>(server_->getListeningPorts().at(0));
+  constexpr int kMostPorts = 2;
+  std::array<mg_server_port, kMostPorts> ports{};
+  const int count = mg_get_server_ports(server_, kMostPorts, ports.data());
+  const auto port = static_cast<std::uint16_t>(count > 0 ? ports[0].port : 0);
   return {address_.address, port};
 }
 
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -10,8 +10,7 @@
 #include "common/ids.h"
 #include "common/time_source.h"
 
-class CivetServer;
-class CivetHandler;
+struct mg_context;
 
 namespace lugfork {
 
@@ -72,9 +71,11 @@
   Endpoint localAddress() const;
 
  private:
+  class RequestAnswerer;
+
   const Endpoint address_;
-  std::unique_ptr<CivetHandler> handler_;
-  std::unique_ptr<CivetServer> server_;
+  std::unique_ptr<RequestAnswerer> answerer_;
+  mg_context* server_ = nullptr;
 };
 
 /**
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -1,10 +1,9 @@
 #include "runtime/packet_daemon.h"
 
-#include <boost/asio/post.hpp>
-#include <csignal>
-
 #include "runtime/api_response.h"
+#include "runtime/process_times.h"
 #include "runtime/program.h"
+#include "runtime/stop_signals.h"
 
 namespace lugfork {
 
@@ -70,6 +69,7 @@
       leave_timer_(settings_.leave),
       reload_(std::move(reload)) {
   awaitSignal();
+  deliverStopSignals();
   source_.setListener(this);
   split_store_.setKnownKeys(
       [this](const std::string& prefix) { return node_.follower().view().keysUnder(prefix); });
@@ -82,7 +82,6 @@
     ready_ = node_.isReady();
     socket_.startReceiving();
   });
-  startServers();
 }
 
 std::unique_ptr<UdpPeerSocket> PacketDaemon::makePeerSocket() {
@@ -149,11 +148,14 @@
   log_.write(LogLevel::Info, "daemon", "started",
              {{"packet_address", toString(settings_.packet_address)},
               {"ready_address", toString(settings_.ready_address)},
+              {"processor_us", std::int64_t{processorTime().count()}},
               {"version", LUGFORK_VERSION}});
   node_.start();
   if (peer_exchange_ != nullptr) {
     peer_exchange_->start();
   }
+  // While the first view is on its way: the servers' threads take a tenth of the start's time.
+  startServers();
   io_context_.run();
   closeWhileServing(io_context_, ready_server_);
   log_.write(LogLevel::Info, "daemon", "stopped",
@@ -181,6 +183,9 @@
 void PacketDaemon::forwardPacket(const Backend& backend, CompactToken token) {
   codec_.encodeForBackend(packet_, backend, token, datagram_);
   socket_.sendBytes(backend.address, datagram_);
+  if (!first_packet_at_) {
+    first_packet_at_ = machineTime();
+  }
 }
 
 void PacketDaemon::resetCaller(const FlowPacket& packet) {
@@ -224,7 +229,7 @@
 }
 
 void PacketDaemon::closeControlServer() {
-  boost::asio::post(closer_, [this] {
+  closer_ = std::jthread([this] {
     control_server_.reset();
     control_closed_ = true;
   });
@@ -265,9 +270,10 @@
     return problemResponse(kHttpNotFound, "no such resource");
   }
   return callOnLoop(io_context_, [&] {
-    return plainText(kHttpOk, metrics_.render({node_, counters_, source_, hedged_store_.hedges(),
-                                               provider_.get(), view_client_.get(),
-                                               peer_socket_.get(), log_.suppressed()}));
+    return plainText(kHttpOk,
+                     metrics_.render({node_, counters_, source_, hedged_store_.hedges(),
+                                      provider_.get(), view_client_.get(), peer_socket_.get(),
+                                      log_.suppressed(), first_packet_at_}));
   });
 }
 
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -3,8 +3,9 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/thread_pool.hpp>
 #include <memory>
+#include <optional>
+#include <thread>
 
 #include "balancer/packet_node.h"
 #include "common/bounded_event_log.h"
@@ -67,7 +68,11 @@
   PacketDaemon(boost::asio::io_context& io_context, PacketDaemonSettings settings,
                const PlatformBinding& platform, EventLog& log, std::function<std::string()> reload);
 
-  /** Runs until a planned stop (SIGTERM or SIGINT) is complete. */
+  /**
+   * Asks for the first view, then answers readiness and metrics, and runs until a planned stop
+   * (SIGTERM or SIGINT) is complete.
+   * @throws std::runtime_error where an address can't be bound.
+   */
   void run();
 
  private:
@@ -125,9 +130,11 @@
   std::function<std::string()> reload_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> control_server_;
-  boost::asio::thread_pool closer_{1};
   std::atomic<bool> control_closed_ = false;
+  std::jthread closer_;
   std::atomic<bool> ready_ = false;
+  /** When a packet was first forwarded, as machineTime() counts. */
+  std::optional<Duration> first_packet_at_;
   /** The packet at hand, while the node decides on it. */
   std::span<const std::uint8_t> packet_;
   std::vector<std::uint8_t> datagram_;
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -1,156 +1,161 @@
 #include "runtime/packet_metrics.h"
 
-#include <prometheus/text_serializer.h>
-
-#include "runtime/metric_families.h"
+#include "runtime/process_times.h"
 
 namespace lugfork {
 
 namespace {
 
-const prometheus::Histogram::BucketBoundaries kHandshakeBounds = {0.002, 0.005, 0.01, 0.02, 0.05,
-                                                                  0.1,   0.2,   0.4,  0.8,  1.6};
-const prometheus::Histogram::BucketBoundaries kHandlingBounds = {0.00001, 0.00002, 0.00005, 0.0001,
-                                                                 0.0002,  0.0005,  0.001,   0.005};
-
-prometheus::Histogram& makeHistogram(prometheus::Registry& registry, const std::string& name,
-                                     const std::string& help,
-                                     const prometheus::Histogram::BucketBoundaries& bounds) {
-  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, bounds);
-}
+const std::vector<double> kHandshakeBounds = {0.002, 0.005, 0.01, 0.02, 0.05,
+                                              0.1,   0.2,   0.4,  0.8,  1.6};
+const std::vector<double> kHandlingBounds = {0.00001, 0.00002, 0.00005, 0.0001,
+                                             0.0002,  0.0005,  0.001,   0.005};
 
-void addDataPath(prometheus::Registry& registry, const PacketCounters& counters) {
-  addCounter(registry, "lugfork_openings_total", "Openings of flows placed.", counters.openings);
-  addCounter(registry, "lugfork_reopenings_total", "Openings placed again after silence.",
+void addDataPath(MetricPage& page, const PacketCounters& counters) {
+  addCounter(page, "lugfork_openings_total", "Openings of flows placed.", counters.openings);
+  addCounter(page, "lugfork_reopenings_total", "Openings placed again after silence.",
              counters.reopenings);
-  addCounter(registry, "lugfork_forwards_total", "Packets of open flows forwarded.",
-             counters.forwards);
+  addCounter(page, "lugfork_forwards_total", "Packets of open flows forwarded.", counters.forwards);
   for (std::size_t index = 0; index < kReasonCount; ++index) {
-    addCounter(registry, "lugfork_resets_total", "Resets sent to callers.",
+    addCounter(page, "lugfork_resets_total", "Resets sent to callers.",
                counters.resets_by_reason[index],
                {{"reason", toString(static_cast<Reason>(index))}});
   }
   const char* help = "Packets dropped.";
-  addCounter(registry, "lugfork_packets_dropped_total", help, counters.drops_unknown_backend,
+  addCounter(page, "lugfork_packets_dropped_total", help, counters.drops_unknown_backend,
              {{"cause", "unknown_backend"}});
-  addCounter(registry, "lugfork_packets_dropped_total", help, counters.drops_not_certain,
+  addCounter(page, "lugfork_packets_dropped_total", help, counters.drops_not_certain,
              {{"cause", "not_certain"}});
 }
 
-void addSockets(prometheus::Registry& registry, const PacketSocketCounters& sockets) {
-  addCounter(registry, "lugfork_packets_received_total", "Packets received.",
-             sockets.packets_received);
+void addSockets(MetricPage& page, const PacketSocketCounters& sockets) {
+  addCounter(page, "lugfork_packets_received_total", "Packets received.", sockets.packets_received);
   for (std::size_t index = 0; index < kPacketErrorCount; ++index) {
-    addCounter(registry, "lugfork_packets_dropped_total", "Packets dropped.",
+    addCounter(page, "lugfork_packets_dropped_total", "Packets dropped.",
                sockets.packets_invalid[index],
                {{"cause", toString(static_cast<PacketError>(index))}});
   }
 }
 
-void addFollower(prometheus::Registry& registry, const ViewFollower& follower) {
+void addFollower(MetricPage& page, const ViewFollower& follower) {
   const ViewFollowerCounters& counters = follower.counters();
-  addCounter(registry, "lugfork_platform_pages_total", "Pages read.", counters.pages);
-  addCounter(registry, "lugfork_platform_watches_total", "Watches made.", counters.watches);
-  addCounter(registry, "lugfork_platform_full_reads_total", "Full reads begun.",
-             counters.full_reads);
+  addCounter(page, "lugfork_platform_pages_total", "Pages read.", counters.pages);
+  addCounter(page, "lugfork_platform_watches_total", "Watches made.", counters.watches);
+  addCounter(page, "lugfork_platform_full_reads_total", "Full reads begun.", counters.full_reads);
   for (std::size_t index = 0; index <= static_cast<std::size_t>(SourceError::Last); ++index) {
-    addCounter(registry, "lugfork_platform_errors_total", "Calls without a good answer.",
+    addCounter(page, "lugfork_platform_errors_total", "Calls without a good answer.",
                counters.errors[index], {{"cause", toString(static_cast<SourceError>(index))}});
   }
-  addGauge(registry, "lugfork_view_age_seconds", "Time since the platform's last answer.",
+  addGauge(page, "lugfork_view_age_seconds", "Time since the platform's last answer.",
            std::chrono::duration<double>(follower.age()).count());
 }
 
-void addUpstream(prometheus::Registry& registry, const PacketFigures& figures) {
+void addUpstream(MetricPage& page, const PacketFigures& figures) {
   const UpstreamCounters& counters = figures.source.counters();
   for (const Upstream upstream :
        {Upstream::None, Upstream::Store, Upstream::Balancer, Upstream::StandIn}) {
-    addGauge(registry, "lugfork_upstream", "1 for where changes come from at present.",
+    addGauge(page, "lugfork_upstream", "1 for where changes come from at present.",
              figures.source.upstream() == upstream ? 1 : 0, {{"kind", toString(upstream)}});
   }
-  addCounter(registry, "lugfork_upstream_polls_total", "Polls of other balancers.", counters.polls);
-  addCounter(registry, "lugfork_upstream_polls_with_changes_total", "Polls that brought changes.",
+  addCounter(page, "lugfork_upstream_polls_total", "Polls of other balancers.", counters.polls);
+  addCounter(page, "lugfork_upstream_polls_with_changes_total", "Polls that brought changes.",
              counters.polls_with_changes);
-  addCounter(registry, "lugfork_upstream_polls_without_fresh_view_total",
+  addCounter(page, "lugfork_upstream_polls_without_fresh_view_total",
              "Polls in which no balancer had a fresh view.", counters.polls_without_fresh_view);
-  addCounter(registry, "lugfork_upstream_deadline_asks_total",
+  addCounter(page, "lugfork_upstream_deadline_asks_total",
              "Calls to the store because the view had grown too old to wait for a poll.",
              counters.deadline_asks);
-  addCounter(registry, "lugfork_upstream_stand_ins_total",
+  addCounter(page, "lugfork_upstream_stand_ins_total",
              "Polls of balancers in place of a store that did not answer.", counters.stand_ins);
-  addCounter(registry, "lugfork_upstream_whole_views_total",
+  addCounter(page, "lugfork_upstream_whole_views_total",
              "Whole views that came from other balancers.", counters.views_from_balancers);
-  addCounter(registry, "lugfork_store_calls_total", "Calls to the store.",
-             counters.pages_from_store, {{"call", "page"}});
-  addCounter(registry, "lugfork_store_calls_total", "Calls to the store.",
-             counters.watches_of_store, {{"call", "watch"}});
-  addCounter(registry, "lugfork_store_calls_total", "Calls to the store.", figures.hedged_reads,
+  addCounter(page, "lugfork_store_calls_total", "Calls to the store.", counters.pages_from_store,
+             {{"call", "page"}});
+  addCounter(page, "lugfork_store_calls_total", "Calls to the store.", counters.watches_of_store,
+             {{"call", "watch"}});
+  addCounter(page, "lugfork_store_calls_total", "Calls to the store.", figures.hedged_reads,
              {{"call", "hedge"}});
 }
 
-void addProvider(prometheus::Registry& registry, const ViewProviderCounters& counters) {
+void addProvider(MetricPage& page, const ViewProviderCounters& counters) {
   const char* help = "Requests for this balancer's view, by how they were answered.";
-  addCounter(registry, "lugfork_view_requests_total", help, counters.whole_views,
+  addCounter(page, "lugfork_view_requests_total", help, counters.whole_views,
              {{"answer", "whole_view"}});
-  addCounter(registry, "lugfork_view_requests_total", help, counters.changes,
-             {{"answer", "changes"}});
-  addCounter(registry, "lugfork_view_requests_total", help, counters.referred,
+  addCounter(page, "lugfork_view_requests_total", help, counters.changes, {{"answer", "changes"}});
+  addCounter(page, "lugfork_view_requests_total", help, counters.referred,
              {{"answer", "referred"}});
-  addCounter(registry, "lugfork_view_requests_total", help, counters.queued,
-             {{"answer", "queued"}});
-  addCounter(registry, "lugfork_view_requests_total", help, counters.history_unknown,
+  addCounter(page, "lugfork_view_requests_total", help, counters.queued, {{"answer", "queued"}});
+  addCounter(page, "lugfork_view_requests_total", help, counters.history_unknown,
              {{"answer", "history_unknown"}});
-  addCounter(registry, "lugfork_view_sent_bytes_total", "Bytes of views and changes sent.",
+  addCounter(page, "lugfork_view_sent_bytes_total", "Bytes of views and changes sent.",
              counters.bytes);
 }
 
-void addPeerSocket(prometheus::Registry& registry, const UdpPeerSocket& socket,
-                   const ViewClient& client) {
-  addCounter(registry, "lugfork_peer_datagrams_refused_total",
+void addPeerSocket(MetricPage& page, const UdpPeerSocket& socket, const ViewClient& client) {
+  addCounter(page, "lugfork_peer_datagrams_refused_total",
              "Datagrams of another form, fleet or version.", socket.refused());
-  addCounter(registry, "lugfork_peer_bodies_malformed_total",
+  addCounter(page, "lugfork_peer_bodies_malformed_total",
              "Views of other balancers that could not be read.", client.malformedBodies());
 }
 
+void addProcess(MetricPage& page, const PacketFigures& figures) {
+  const auto seconds_of = [](Duration duration) {
+    return std::chrono::duration<double>(duration).count();
+  };
+  page.addCounter("lugfork_processor_seconds_total", "Processor time used by this process.",
+                  seconds_of(processorTime()));
+  if (figures.first_packet_at) {
+    const auto started_at = processStartedAt().value_or(*figures.first_packet_at);
+    page.addGauge("lugfork_start_to_first_packet_seconds",
+                  "From the process's start until it first forwarded a packet.",
+                  seconds_of(*figures.first_packet_at - started_at));
+  }
+}
+
 }  // namespace
 
 PacketMetrics::PacketMetrics()
-    : handshake_(makeHistogram(histograms_, "lugfork_handshake_seconds",
-                               "From a flow's opening to the caller's next packet.",
-                               kHandshakeBounds)),
-      response_(makeHistogram(histograms_, "lugfork_response_seconds",
-                              "From a request's first packet to the beginning of its answer.",
-                              kHandshakeBounds)),
-      store_read_(makeHistogram(histograms_, "lugfork_platform_read_seconds",
-                                "Reads of the platform's store.", kHandshakeBounds)),
-      handling_(makeHistogram(histograms_, "lugfork_packet_handling_seconds",
-                              "Time in which a packet was handled.", kHandlingBounds)) {}
+    : handshake_(kHandshakeBounds),
+      response_(kHandshakeBounds),
+      store_read_(kHandshakeBounds),
+      handling_(kHandlingBounds) {}
 
 std::string PacketMetrics::render(const PacketFigures& figures) const {
   const PacketNode& node = figures.node;
-  prometheus::Registry registry;
-  addDataPath(registry, node.packetCounters());
-  addSockets(registry, figures.sockets);
-  addFollower(registry, node.follower());
-  addUpstream(registry, figures);
+  MetricPage page;
+  addDataPath(page, node.packetCounters());
+  addSockets(page, figures.sockets);
+  addFollower(page, node.follower());
+  addUpstream(page, figures);
   if (figures.provider != nullptr) {
-    addProvider(registry, figures.provider->counters());
+    addProvider(page, figures.provider->counters());
   }
   if (figures.peer_socket != nullptr && figures.view_client != nullptr) {
-    addPeerSocket(registry, *figures.peer_socket, *figures.view_client);
+    addPeerSocket(page, *figures.peer_socket, *figures.view_client);
   }
-  addCounter(registry, "lugfork_platform_records_invalid_total", "Items that can't be read.",
+  addCounter(page, "lugfork_platform_records_invalid_total", "Items that can't be read.",
              node.counters().records_invalid);
-  addCounter(registry, "lugfork_log_lines_left_out_total", "Log lines left out by the limit.",
+  addCounter(page, "lugfork_log_lines_left_out_total", "Log lines left out by the limit.",
              figures.log_lines_left_out);
-  addGauge(registry, "lugfork_routes_version", "Version of the routes in force.",
+  addGauge(page, "lugfork_routes_version", "Version of the routes in force.",
            static_cast<double>(node.routesVersion()));
-  addGauge(registry, "lugfork_zones_out_of_service",
+  addGauge(page, "lugfork_zones_out_of_service",
            "Zones whose servers get no new flow, as the operator asked; as old as the view.",
            static_cast<double>(node.zonesOutOfService()));
-  addGauge(registry, "lugfork_ready", "1 while callers may be sent here.", node.isReady() ? 1 : 0);
-  const prometheus::TextSerializer serializer;
-  return serializer.Serialize(registry.Collect()) + serializer.Serialize(histograms_.Collect());
+  addGauge(page, "lugfork_ready", "1 while callers may be sent here.", node.isReady() ? 1 : 0);
+  addHistograms(page);
+  addProcess(page, figures);
+  return page.text();
+}
+
+void PacketMetrics::addHistograms(MetricPage& page) const {
+  page.addHistogram("lugfork_handshake_seconds",
+                    "From a flow's opening to the caller's next packet.", handshake_);
+  page.addHistogram("lugfork_response_seconds",
+                    "From a request's first packet to the beginning of its answer.", response_);
+  page.addHistogram("lugfork_platform_read_seconds", "Reads of the platform's store.", store_read_);
+  page.addHistogram("lugfork_packet_handling_seconds", "Time in which a packet was handled.",
+                    handling_);
 }
 
 }  // namespace lugfork
--- a/src/runtime/packet_metrics.h
+++ b/src/runtime/packet_metrics.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include <prometheus/histogram.h>
-#include <prometheus/registry.h>
-
+#include <optional>
 #include <string>
 
 #include "balancer/packet_node.h"
 #include "discovery/upstream_source.h"
 #include "flow/packet_codec.h"
+#include "runtime/metric_page.h"
 #include "runtime/udp_peer_socket.h"
 
 namespace lugfork {
@@ -30,6 +29,8 @@
   const ViewClient* view_client = nullptr;
   const UdpPeerSocket* peer_socket = nullptr;
   std::uint64_t log_lines_left_out = 0;
+  /** When a packet was first forwarded, as machineTime() counts; unset before. */
+  std::optional<Duration> first_packet_at;
 };
 
 /** Latency histograms that are filled while the node runs, and the page with all figures. */
@@ -38,16 +39,16 @@
   PacketMetrics();
 
   /** Notes the time from a flow's opening to the caller's next packet. */
-  void onHandshake(Duration duration) { handshake_.Observe(toSeconds(duration)); }
+  void onHandshake(Duration duration) { handshake_.observe(toSeconds(duration)); }
 
   /** Notes the time from a request's first packet to the beginning of its answer. */
-  void onResponse(Duration duration) { response_.Observe(toSeconds(duration)); }
+  void onResponse(Duration duration) { response_.observe(toSeconds(duration)); }
 
   /** Notes the time of one read of the platform's store. */
-  void onStoreRead(Duration duration) { store_read_.Observe(toSeconds(duration)); }
+  void onStoreRead(Duration duration) { store_read_.observe(toSeconds(duration)); }
 
   /** Notes the time in which one packet was handled. */
-  void onPacketHandled(Duration duration) { handling_.Observe(toSeconds(duration)); }
+  void onPacketHandled(Duration duration) { handling_.observe(toSeconds(duration)); }
 
   /** @return all figures in the Prometheus text format. */
   std::string render(const PacketFigures& figures) const;
@@ -57,11 +58,12 @@
     return std::chrono::duration<double>(duration).count();
   }
 
-  prometheus::Registry histograms_;
-  prometheus::Histogram& handshake_;
-  prometheus::Histogram& response_;
-  prometheus::Histogram& store_read_;
-  prometheus::Histogram& handling_;
+  void addHistograms(MetricPage& page) const;
+
+  MetricHistogram handshake_;
+  MetricHistogram response_;
+  MetricHistogram store_read_;
+  MetricHistogram handling_;
 };
 
 }  // namespace lugfork
--- /dev/null
+++ b/src/runtime/process_times.cc
@@ -0,0 +1,47 @@
+#include "runtime/process_times.h"
+
+#include <unistd.h>
+
+#include <ctime>
+#include <fstream>
+#include <limits>
+
+namespace lugfork {
+
+namespace {
+
+Duration read(clockid_t clock) {
+  timespec time{};
+  clock_gettime(clock, &time);
+  return std::chrono::duration_cast<Duration>(seconds(time.tv_sec) +
+                                              std::chrono::nanoseconds(time.tv_nsec));
+}
+
+}  // namespace
+
+Duration processorTime() {
+  return read(CLOCK_PROCESS_CPUTIME_ID);
+}
+
+Duration machineTime() {
+  return read(CLOCK_BOOTTIME);
+}
+
+std::optional<Duration> processStartedAt() {
+  // The name in parentheses may hold spaces; 19 fields stand between it and the start.
+  constexpr int kFieldsBefore = 19;
+  constexpr auto kAll = std::numeric_limits<std::streamsize>::max();
+  std::ifstream stat("/proc/self/stat");
+  stat.ignore(kAll, ')');
+  std::string skipped;
+  for (int field = 0; field < kFieldsBefore; ++field) {
+    stat >> skipped;
+  }
+  std::int64_t ticks = 0;
+  if (!(stat >> ticks)) {
+    return std::nullopt;
+  }
+  return Duration(ticks * (Duration::period::den / sysconf(_SC_CLK_TCK)));
+}
+
+}  // namespace lugfork
--- a/tests/platform/packetd_fixture.h
+++ b/tests/platform/packetd_fixture.h
@@ -150,12 +150,15 @@
   Packetd(const Packetd&) = delete;
   Packetd& operator=(const Packetd&) = delete;
 
-  void start() {
+  void start() { start(settings_file_); }
+
+  /** Starts with a settings file of the caller's. */
+  void start(const std::string& settings_file) {
     pid_ = ::fork();
     if (pid_ == 0) {
       const int log = ::open(log_file_.c_str(), O_WRONLY | O_APPEND);
       ::dup2(log, STDOUT_FILENO);
-      ::execl(LUGFORK_PACKETD, LUGFORK_PACKETD, "--settings", settings_file_.c_str(), nullptr);
+      ::execl(LUGFORK_PACKETD, LUGFORK_PACKETD, "--settings", settings_file.c_str(), nullptr);
       _exit(127);
     }
   }
--- /dev/null
+++ b/tests/platform/packetd_start_test.cc
@@ -0,0 +1,128 @@
+/** The first milliseconds of lugfork-packetd: signals and the order of its start. */
+
+#include <fcntl.h>
+#include <sys/stat.h>
+
+#include <catch2/catch.hpp>
+
+#include "platform/packetd_fixture.h"
+
+namespace lugfork::platform {
+namespace {
+
+/** Settings file that a daemon waits for: a pipe with a name. */
+class HeldSettings {
+ public:
+  HeldSettings() : path_(temporaryFile("")) {
+    std::remove(path_.c_str());
+    REQUIRE(::mkfifo(path_.c_str(), 0600) == 0);
+  }
+  ~HeldSettings() { std::remove(path_.c_str()); }
+  HeldSettings(const HeldSettings&) = delete;
+  HeldSettings& operator=(const HeldSettings&) = delete;
+
+  /** Waits until a daemon's main() reads the file. */
+  void waitForReader() { writer_ = ::open(path_.c_str(), O_WRONLY); }
+
+  void give(const std::string& text) {
+    const auto size = ::write(writer_, text.data(), text.size());
+    CHECK(size == static_cast<ssize_t>(text.size()));
+    ::close(writer_);
+  }
+
+  /** From now on who opens the file finds a usual one. */
+  void replaceBy(const std::string& text) const {
+    const std::string usual = temporaryFile(text);
+    CHECK(std::rename(usual.c_str(), path_.c_str()) == 0);
+  }
+
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+  int writer_ = -1;
+};
+
+std::string textOf(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+TEST_CASE("a daemon told to stop while it starts ends with its planned stop", "[packetd]") {
+  StoreStandin store;
+  store.put("op/config", R"({"version":7,"routes":[]})");
+  const int signal = GENERATE(SIGTERM, SIGINT);
+  Packetd daemon(store.address());
+  const std::string settings = textOf(daemon.settingsFile());
+  HeldSettings held;
+  daemon.start(held.path());
+  held.waitForReader();
+  daemon.signal(signal);
+  held.give(settings);
+  CHECK(daemon.wait() == 0);
+  const std::string log = daemon.log();
+  CHECK(log.find("\"event\":\"leaving\"") != std::string::npos);
+  CHECK(log.find("\"event\":\"stopped\"") != std::string::npos);
+}
+
+TEST_CASE("settings read again while a daemon starts do not end it", "[packetd]") {
+  StoreStandin store;
+  store.put("op/config", R"({"version":7,"routes":[]})");
+  Packetd daemon(store.address());
+  const std::string settings = textOf(daemon.settingsFile());
+  HeldSettings held;
+  daemon.start(held.path());
+  held.waitForReader();
+  daemon.signal(SIGHUP);
+  held.replaceBy(settings);
+  held.give(settings);
+  CHECK(daemon.waitForReady(200));
+  CHECK(Packetd::eventually(
+      [&] { return daemon.log().find("\"event\":\"reloaded\"") != std::string::npos; }));
+}
+
+TEST_CASE("daemons told to stop at any moment of main() end with their planned stop", "[packetd]") {
+  StoreStandin store;
+  store.put("op/config", R"({"version":7,"routes":[]})");
+  constexpr int kDaemons = 12;
+  constexpr std::chrono::microseconds kStep{400};
+  for (int index = 0; index < kDaemons; ++index) {
+    Packetd daemon(store.address());
+    const std::string settings = textOf(daemon.settingsFile());
+    HeldSettings held;
+    daemon.start(held.path());
+    held.waitForReader();
+    held.give(settings);
+    std::this_thread::sleep_for(index * kStep);
+    daemon.signal(SIGTERM);
+    INFO("after " << index * kStep.count() << " us");
+    CHECK(daemon.wait() == 0);
+    CHECK(daemon.log().find("\"event\":\"stopped\"") != std::string::npos);
+  }
+}
+
+TEST_CASE("the log's lines are whole and of one form before and after its appender is loaded",
+          "[packetd]") {
+  StoreStandin store;
+  Packetd daemon(store.address());
+  std::ofstream(daemon.settingsFile(), std::ios::app)
+      << "log-level = \"debug\"\nlog-appender-delay = 200\n";
+  daemon.start();
+  REQUIRE(Packetd::eventually(
+      [&] { return daemon.log().find("log_appender_loaded") != std::string::npos; }));
+  daemon.signal(SIGTERM);
+  REQUIRE(daemon.wait() == 0);
+  std::istringstream lines(daemon.log());
+  int count = 0;
+  for (std::string line; std::getline(lines, line); ++count) {
+    INFO(line);
+    const auto parsed = nlohmann::json::parse(line, nullptr, false);
+    REQUIRE(parsed.is_object());
+    CHECK(line.starts_with("{\"time\":\""));
+    CHECK(parsed["node"] == "n");
+  }
+  CHECK(count > 2);
+}
+
+}  // namespace
+}  // namespace lugfork::platform
