--- a/src/common/bounded_event_log.cc
+++ b/src/common/bounded_event_log.cc
@@ -7,12 +7,7 @@
 
 void BoundedEventLog::write(LogLevel level, std::string_view component, std::string_view event,
                             std::initializer_list<LogField> fields) {
-  auto found = budgets_.find(component);
-  if (found == budgets_.end()) {
-    const Budget full{limits_.burst, time_source_.monotonicTime(), 0};
-    found = budgets_.emplace(std::string(component), full).first;
-  }
-  Budget& budget = found->second;
+  Budget& budget = budgetOf(component, event);
   if (!takeLine(budget)) {
     ++budget.left_out;
     ++suppressed_;
@@ -20,11 +15,25 @@
   }
   if (budget.left_out > 0) {
     next_.write(LogLevel::Warn, component, "log_lines_left_out",
-                {{"lines", std::exchange(budget.left_out, 0)}});
+                {{"of_event", std::string(event)}, {"lines", std::exchange(budget.left_out, 0)}});
   }
   next_.write(level, component, event, fields);
 }
 
+BoundedEventLog::Budget& BoundedEventLog::budgetOf(std::string_view component,
+                                                   std::string_view event) {
+  auto events = budgets_.find(component);
+  if (events == budgets_.end()) {
+    events = budgets_.emplace(std::string(component), BudgetByEvent()).first;
+  }
+  auto found = events->second.find(event);
+  if (found == events->second.end()) {
+    const Budget full{limits_.burst, time_source_.monotonicTime(), 0};
+    found = events->second.emplace(std::string(event), full).first;
+  }
+  return found->second;
+}
+
 bool BoundedEventLog::takeLine(Budget& budget) {
   const MonotonicTime now = time_source_.monotonicTime();
   const double elapsed = std::chrono::duration<double>(now - budget.refilled_at).count();
--- a/src/common/bounded_event_log.h
+++ b/src/common/bounded_event_log.h
@@ -10,15 +10,16 @@
 
 /** Limits of a BoundedEventLog. */
 struct LogLimits {
-  /** Lines a second for each component. */
+  /** Lines a second for each event of a component. */
   double lines_per_second = 100;
-  /** Lines that a quiet component may write at once. */
+  /** Lines that a quiet event may write at once. */
   double burst = 200;
 };
 
 /**
- * Passes events on within a rate for each component, so that a storm in one neither fills the
- * output nor hides another. Says how many lines were left out with the first one that passes again.
+ * Passes events on within a rate for each event of each component, so that a storm of one neither
+ * fills the output nor hides another. Says how many lines of which event were left out with its
+ * first one that passes again.
  */
 class BoundedEventLog : public EventLog {
  public:
@@ -37,13 +38,15 @@
     MonotonicTime refilled_at;
     std::uint64_t left_out = 0;
   };
+  using BudgetByEvent = std::map<std::string, Budget, std::less<>>;
 
+  Budget& budgetOf(std::string_view component, std::string_view event);
   bool takeLine(Budget& budget);
 
   EventLog& next_;
   const LogLimits limits_;
   const TimeSource& time_source_;
-  std::map<std::string, Budget, std::less<>> budgets_;
+  std::map<std::string, BudgetByEvent, std::less<>> budgets_;
   std::uint64_t suppressed_ = 0;
 };
 
--- a/src/explain/story.cc
+++ b/src/explain/story.cc
@@ -12,7 +12,7 @@
 const std::set<std::string> kNodeEvents = {
     "started",         "stopped",        "leaving",           "view_complete",
     "routes_in_force", "platform_lost",  "platform_regained", "upstream_changed",
-    "reload_refused",  "record_invalid", "backend_id_clash"};
+    "reload_refused",  "record_invalid", "backend_id_clash",  "log_lines_left_out"};
 
 /** Back ends, by whichever of their two names a line gives. */
 struct BackendNames {
--- /dev/null
+++ b/tests/common/bounded_event_log_test.cc
@@ -0,0 +1,84 @@
+#include "common/bounded_event_log.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace lugfork {
+namespace {
+
+class ManualTime : public TimeSource {
+ public:
+  MonotonicTime monotonicTime() const override { return now; }
+  SystemTime systemTime() const override { return SystemTime(); }
+
+  MonotonicTime now;
+};
+
+/** Keeps "component/event", and for lines of counts what they count. */
+class RecordedLog : public EventLog {
+ public:
+  void write(LogLevel, std::string_view component, std::string_view event,
+             std::initializer_list<LogField> fields) override {
+    std::string line = std::string(component) + "/" + std::string(event);
+    if (event == "log_lines_left_out") {
+      line += " " + std::get<std::string>(fields.begin()[0].value) + " " +
+              std::to_string(std::get<std::int64_t>(fields.begin()[1].value));
+    }
+    lines.push_back(line);
+  }
+
+  std::vector<std::string> lines;
+};
+
+struct BoundedLogFixture {
+  ManualTime time;
+  RecordedLog recorded;
+  BoundedEventLog log{recorded, LogLimits{10, 3}, time};
+
+  void write(const std::string& component, const std::string& event, int times = 1) {
+    for (int count = 0; count < times; ++count) {
+      log.write(LogLevel::Info, component, event, {});
+    }
+  }
+};
+
+TEST_CASE("a storm of one event hides no other event of its component", "[log]") {
+  BoundedLogFixture fixture;
+  fixture.write("flow", "flow_placed", 50);
+  CHECK(fixture.recorded.lines == std::vector<std::string>(3, "flow/flow_placed"));
+  CHECK(fixture.log.suppressed() == 47);
+  fixture.recorded.lines.clear();
+  fixture.write("flow", "flow_reset");
+  fixture.write("node", "flow_placed");
+  CHECK(fixture.recorded.lines == std::vector<std::string>{"flow/flow_reset", "node/flow_placed"});
+}
+
+TEST_CASE("the next line of an event says how many of it were left out, once", "[log]") {
+  BoundedLogFixture fixture;
+  fixture.write("flow", "flow_placed", 8);
+  fixture.write("flow", "flow_reset", 4);
+  fixture.recorded.lines.clear();
+  fixture.time.now += seconds(1);
+  fixture.write("flow", "flow_reset");
+  fixture.write("flow", "flow_placed", 2);
+  CHECK(fixture.recorded.lines == std::vector<std::string>{"flow/log_lines_left_out flow_reset 1",
+                                                           "flow/flow_reset",
+                                                           "flow/log_lines_left_out flow_placed 5",
+                                                           "flow/flow_placed", "flow/flow_placed"});
+}
+
+TEST_CASE("an event gets its rate, and after quiet its burst and no more", "[log]") {
+  BoundedLogFixture fixture;
+  fixture.write("flow", "flow_placed", 3);
+  fixture.recorded.lines.clear();
+  fixture.time.now += milliseconds(100);
+  fixture.write("flow", "flow_placed", 2);
+  CHECK(fixture.recorded.lines == std::vector<std::string>{"flow/flow_placed"});
+  fixture.recorded.lines.clear();
+  fixture.time.now += seconds(60);
+  fixture.write("flow", "flow_placed", 10);
+  CHECK(fixture.recorded.lines.size() == 1 + 3);
+}
+
+}  // namespace
+}  // namespace lugfork
--- a/tests/explain/story_test.cc
+++ b/tests/explain/story_test.cc
@@ -95,6 +95,15 @@
   CHECK(story.lines[0].last_time_ms - story.lines[0].time_ms == 400);
 }
 
+TEST_CASE("a story says that lines of its nodes were left out", "[explain]") {
+  const auto lines = parse(
+      {placed("02.000", "n1"),
+       lineText("02.400", "n1", "log_lines_left_out", R"(,"of_event":"flow_reset","lines":17)"),
+       lineText("02.500", "n2", "log_lines_left_out", R"(,"of_event":"flow_reset","lines":3)")});
+  CHECK(eventsOf(tellStory(lines, {kFlow, "", 10000})) ==
+        std::vector<std::string>{"n1 flow_placed", "n1 log_lines_left_out"});
+}
+
 TEST_CASE("a back end is found by its id as well", "[explain]") {
   const auto lines = parse({backendState("01.000", "n1", "ready", 5),
                             lineText("02.300", "n2", "backend_suspected", R"(,"backend_id":9)")});
