--- a/tests/platform/packetd_fixture.h
+++ b/tests/platform/packetd_fixture.h
@@ -160,12 +160,15 @@
   Packetd(const Packetd&) = delete;
   Packetd& operator=(const Packetd&) = delete;
 
+  /** @param flags besides the settings file. */
+  void start(const std::vector<std::string>& flags = {}) { startWith(settings_file_, flags); }
+
   /**
-   * Returns once the program has taken the place of the test's own copy.
-   * @param flags besides the settings file.
+   * Starts with a settings file of the caller's. Returns once the program has taken the place of
+   * the test's own copy.
    */
-  void start(const std::vector<std::string>& flags = {}) {
-    std::vector<const char*> arguments{LUGFORK_PACKETD, "--settings", settings_file_.c_str()};
+  void startWith(const std::string& settings_file, const std::vector<std::string>& flags = {}) {
+    std::vector<const char*> arguments{LUGFORK_PACKETD, "--settings", settings_file.c_str()};
     for (const std::string& flag : flags) {
       arguments.push_back(flag.c_str());
     }
