--- a/scripts/processor-budget.py
+++ b/scripts/processor-budget.py
@@ -28,6 +28,13 @@
 BAD_PACKETS = 3000
 # Lines that a quiet component may write at once, whatever its rate.
 LINES_AT_ONCE = 200
+PACKETS = 3000
+FIRST_CALLER_PORT = 20000
+SERVER_PORT = 9000
+# Where things stand in packets: what is put before a packet for a server, and the flags behind it.
+FORWARDED_PREFIX = 8
+FLAGS_AT = 26
+DATA_FLAG = 2
 FETCHES = 200
 IDLE_S = 5
 # Of the clocks of another process that clock_gettime() knows, the scheduler's.
@@ -47,7 +54,7 @@
             {"host": "198.18.0.1", "path_prefix": "/443/", "service": "s"}]})]
         for index in range(servers):
             items.append((f"servers/i-{index + 1:010x}", {
-                "service": "s", "address": f"127.1.{index // 250}.{index % 250 + 1}:9000", "zone": "z",
+                "service": "s", "address": f"127.1.{index // 250}.{index % 250 + 1}:{SERVER_PORT}", "zone": "z",
                 "version": "v", "capacity": 2, "state": "ready", "warmup_left_ms": 0, "seq": 1}))
         self.items = [{"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode(),
                        "revision": index + 1, "created": index + 1, "lease": 0}
@@ -194,6 +201,35 @@
     return (written - left_out) / (BAD_PACKETS - LINES_AT_ONCE)
 
 
+def opening(caller_port):
+    """@return the first packet of a flow from a port of 127.0.0.1 to 198.18.0.1:443."""
+    return (bytes(6) + bytes([127, 0, 0, 1]) + (443).to_bytes(2, "big") + bytes([198, 18, 0, 1])
+            + caller_port.to_bytes(2, "big") + bytes.fromhex("1122334400000000" "0400a1b2c3d5"))
+
+
+def packet_costs(program, store):
+    """@return processor time of one opening and of one packet of an open flow, with no line written."""
+    with Daemon(program, store, *STEADY, "--log-lines-per-second", "1") as daemon, \
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server, \
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        server.bind(("0.0.0.0", SERVER_PORT))
+        server.settimeout(PATIENCE_S)
+        settle(daemon)
+        sender.sendto(opening(FIRST_CALLER_PORT), daemon.packet)
+        data = bytearray(server.recv(2048)[FORWARDED_PREFIX:])
+        data[FLAGS_AT] = DATA_FLAG
+        costs = []
+        for packets in ([opening(FIRST_CALLER_PORT + 1 + index) for index in range(PACKETS)],
+                        [bytes(data)] * PACKETS):
+            before = daemon.processor_ms()
+            for packet in packets:
+                sender.sendto(packet, daemon.packet)
+                time.sleep(0.0002)
+            time.sleep(0.3)
+            costs.append((daemon.processor_ms() - before) / PACKETS)
+        return costs
+
+
 def fetch_cost(program, store):
     with Daemon(program, store, *STEADY) as daemon:
         settle(daemon)
@@ -232,6 +268,9 @@
     show("exec to bound sockets (line started)", bound)
     show(f"exec to a view of {arguments.servers} servers", complete)
     show("one log line", [line_cost(program, store)])
+    opened, forwarded = packet_costs(program, store)
+    show("one opening, its line left out", [opened])
+    show("one packet of an open flow", [forwarded])
     show("one fetch of metrics", [fetch_cost(program, store)])
     cost, wakes = idle_cost(program, store)
     show("one idle second", [cost])
--- a/src/appender/log4cxx_appender.cc
+++ b/src/appender/log4cxx_appender.cc
@@ -15,7 +15,7 @@
   const auto layout = std::make_shared<log4cxx::PatternLayout>("%m");
   const auto appender =
       std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
-  const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+  log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
   root->setLevel(log4cxx::Level::getAll());
