--- a/src/runtime/process_times.cc
+++ b/src/runtime/process_times.cc
@@ -1,5 +1,6 @@
 #include "runtime/process_times.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <ctime>
@@ -10,21 +11,23 @@
 
 namespace {
 
-Duration read(clockid_t clock) {
-  timespec time{};
-  clock_gettime(clock, &time);
-  return std::chrono::duration_cast<Duration>(seconds(time.tv_sec) +
-                                              std::chrono::nanoseconds(time.tv_nsec));
+Duration toDuration(const timeval& time) {
+  return seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec);
 }
 
 }  // namespace
 
 Duration processorTime() {
-  return read(CLOCK_PROCESS_CPUTIME_ID);
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return toDuration(usage.ru_utime) + toDuration(usage.ru_stime);
 }
 
 Duration machineTime() {
-  return read(CLOCK_BOOTTIME);
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return std::chrono::duration_cast<Duration>(seconds(time.tv_sec) +
+                                              std::chrono::nanoseconds(time.tv_nsec));
 }
 
 std::optional<Duration> processStartedAt() {
