--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # make demo: install, build, serve requests through separate processes on loopback.
 # make test: install, build, run all tests.
 # make soak SEEDS=A..B: random storms of both users in the simulator; fails on a broken promise.
-# make soak-processes SECONDS=60 SEED=1 [NODES=6]: real balancers on loopback under random faults.
+# make soak-processes SECONDS=60 SEED=1 [NODES=6] [PLAN=soak_cuts]: real balancers on loopback under
+# random faults, or under cuts of zones beside slow processors, silent servers and releases.
 .PHONY: demo test soak soak-processes build packages format format-check lint clean
 
 build: packages
@@ -24,8 +25,9 @@
 
 SECONDS ?= 60
 SEED ?= 1
+PLAN ?= soak
 soak-processes: build
-	SOAK_SECONDS=$(SECONDS) SOAK_SEED=$(SEED) SOAK_NODES=$(NODES) build/soak_tests "[soak]"
+	SOAK_SECONDS=$(SECONDS) SOAK_SEED=$(SEED) SOAK_NODES=$(NODES) build/soak_tests "[$(PLAN)]"
 
 format:
 	git ls-files '*.cc' '*.h' | xargs clang-format -i
--- a/tests/platform/soak/fault_plan.cc
+++ b/tests/platform/soak/fault_plan.cc
@@ -20,6 +20,15 @@
 constexpr std::uint64_t kTargets = 1000;
 /** One group in so many begins before the end of the one before it. */
 constexpr std::uint64_t kGroupsToOverlap = 4;
+constexpr std::uint64_t kShortestCutMs = 4500;
+constexpr std::uint64_t kCutSpreadMs = 2000;
+/** Servers fall silent and are released this early in a cut. */
+constexpr std::uint64_t kEarlyInCutMs = 1200;
+constexpr std::uint64_t kMostSilent = 2;
+/** Slow processors are so before a cut and after it. */
+constexpr milliseconds kSlowBesideCut{1500};
+/** Bounds in time are judged again in the pause after a cut. */
+constexpr milliseconds kPauseAfterCut{8000};
 
 }  // namespace
 
@@ -65,6 +74,10 @@
       return "release_servers";
     case FaultKind::MoveRoutes:
       return "move_routes";
+    case FaultKind::CutZone:
+      return "cut_zone";
+    case FaultKind::SlowNodes:
+      return "slow_nodes";
   }
   return "unknown";
 }
@@ -97,4 +110,35 @@
   return faults;
 }
 
+std::vector<Fault> drawZoneFaults(std::uint64_t seed, milliseconds length) {
+  const std::unique_ptr<RandomGenerator> random = makeSeededRandom(seed);
+  std::vector<Fault> faults;
+  const auto add = [&](FaultKind kind, milliseconds at, milliseconds duration) {
+    faults.push_back({kind, at, duration, static_cast<std::uint32_t>(random->below(kTargets))});
+  };
+  const auto early = [&] { return milliseconds(random->below(kEarlyInCutMs)); };
+  milliseconds at{kShortestPauseMs};
+  while (true) {
+    const milliseconds cut(kShortestCutMs + random->below(kCutSpreadMs));
+    const milliseconds group = cut + 2 * kSlowBesideCut;
+    if (at + group > length) {
+      break;
+    }
+    const milliseconds cut_at = at + kSlowBesideCut;
+    add(FaultKind::SlowNodes, at, group);
+    add(FaultKind::CutZone, cut_at, cut);
+    for (std::uint64_t count = random->below(kMostSilent) + 1; count > 0; --count) {
+      add(FaultKind::CrashServer, cut_at + early(), cut);
+    }
+    add(FaultKind::ReleaseServers, cut_at + early(), milliseconds(0));
+    if (random->below(2) == 0) {
+      add(FaultKind::StopNode, cut_at + early(), milliseconds(0));
+    }
+    at += group + kPauseAfterCut;
+  }
+  std::stable_sort(faults.begin(), faults.end(),
+                   [](const Fault& left, const Fault& right) { return left.at < right.at; });
+  return faults;
+}
+
 }  // namespace lugfork::soak
--- a/tests/platform/soak/fault_plan.h
+++ b/tests/platform/soak/fault_plan.h
@@ -31,6 +31,9 @@
   ReleaseServers,
   MoveRoutes,
   Last = MoveRoutes,
+  /** Of plans with zones only, so that the other plans of a seed stay as they are. */
+  CutZone,
+  SlowNodes,
 };
 
 /** Stable name of a kind of fault, for reports. */
@@ -53,4 +56,12 @@
  */
 std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds length);
 
+/**
+ * Draws faults in which much comes together: most balancers' processors turn slow, then a zone is
+ * cut off, and meanwhile servers fall silent for good, others are released, and balancers stop.
+ * @return the same faults for the same seed and length, in the order of their times; none lasts
+ * beyond the length.
+ */
+std::vector<Fault> drawZoneFaults(std::uint64_t seed, std::chrono::milliseconds length);
+
 }  // namespace lugfork::soak
--- a/tests/platform/soak/node_fleet.h
+++ b/tests/platform/soak/node_fleet.h
@@ -8,6 +8,8 @@
 #include "platform/packetd_fixture.h"
 #include "platform/soak/open_connection.h"
 #include "platform/soak/promise_monitor.h"
+#include "platform/soak/slow_processor.h"
+#include "platform/soak/zone_cut.h"
 
 namespace lugfork::soak {
 
@@ -18,15 +20,18 @@
    * Starts the balancers, each at an address of its own.
    * @param packet_port of all of them, the number of the clients' port.
    */
-  NodeFleet(std::size_t count, std::uint16_t packet_port, Endpoint store, PromiseMonitor& monitor)
+  NodeFleet(std::size_t count, const std::vector<std::string>& zones, std::uint16_t packet_port,
+            Endpoint store, ZoneCut& zone_cut, PromiseMonitor& monitor)
       : monitor_(monitor) {
     const std::uint16_t peer_port = platform::TestSocket().address().port;
     std::vector<Endpoint> seeds;
     for (std::size_t index = 0; index < count; ++index) {
       Node& node = nodes_.emplace_back();
       const std::uint32_t address = kFirstAddress + static_cast<std::uint32_t>(index);
-      const platform::Packetd::PeerSettings peers{address, peer_port,
-                                                  Endpoint{address, packet_port}};
+      const platform::Packetd::PeerSettings peers{
+          address, peer_port, Endpoint{address, packet_port}, zones[index % zones.size()]};
+      node.zone = peers.zone;
+      zone_cut.addBalancer(address, peers.zone);
       node.process = std::make_unique<platform::Packetd>(store, seeds, peers);
       if (seeds.size() < kSeeds) {
         seeds.push_back(node.process->controlAddress());
@@ -46,21 +51,23 @@
   NodeFleet& operator=(const NodeFleet&) = delete;
 
   std::size_t size() const { return nodes_.size(); }
-  bool allReady() { return ready().size() == nodes_.size(); }
+  bool allReady() { return ready("").size() == nodes_.size(); }
 
   /**
    * @param flow a number of the packet's flow; the flow keeps its balancer while `holds`.
    * @param holds the router has not noticed yet that a balancer stops: the flow's packets go there
    * until its process is gone.
+   * @param zone of the client; empty where all balancers are its own.
    * @return where the packet goes; nothing where no balancer is ready.
    */
-  std::optional<Endpoint> pick(std::uint16_t flow, bool is_opening, bool holds) {
+  std::optional<Endpoint> pick(std::uint16_t flow, bool is_opening, bool holds,
+                               const std::string& zone) {
     const auto held = held_.find(flow);
     const bool keeps = held != held_.end() && !is_opening && holds && held->second->running;
     if (keeps) {
       return held->second->process->packetAddress();
     }
-    const std::vector<Node*> choices = ready();
+    const std::vector<Node*> choices = ready(zone);
     if (choices.empty()) {
       return std::nullopt;
     }
@@ -98,6 +105,10 @@
     at(target).paused = false;
   }
 
+  /** The balancer's processor is slow, also that of its next process. */
+  void slowDown(std::uint32_t target) { slow_processor_.slowDown(*at(target).process); }
+  void endSlowness(std::uint32_t target) { slow_processor_.setFree(*at(target).process); }
+
   /** Sends SIGTERM, once more to a balancer that is about to stop. */
   void stop(std::uint32_t target) {
     Node& node = at(target);
@@ -156,6 +167,7 @@
  private:
   struct Node {
     std::unique_ptr<platform::Packetd> process;
+    std::string zone;
     bool running = false;
     bool stopping = false;
     bool paused = false;
@@ -198,10 +210,10 @@
     return *std::next(nodes_.begin(), static_cast<std::ptrdiff_t>(target % nodes_.size()));
   }
 
-  std::vector<Node*> ready() {
+  std::vector<Node*> ready(const std::string& zone) {
     std::vector<Node*> ready;
     for (Node& node : nodes_) {
-      if (node.ready) {
+      if (node.ready && (zone.empty() || node.zone == zone)) {
         ready.push_back(&node);
       }
     }
@@ -247,6 +259,7 @@
   std::atomic<bool> ended_ = false;
   std::atomic<std::size_t> answered_on_connections_ = 0;
   std::atomic<std::size_t> connections_cut_short_ = 0;
+  SlowProcessor slow_processor_;
   std::thread readiness_poller_;
   std::thread connection_user_;
 };
--- a/tests/platform/soak/packet_client.h
+++ b/tests/platform/soak/packet_client.h
@@ -25,6 +25,9 @@
 
   std::size_t asked() const { return asked_; }
   std::size_t served() const { return served_; }
+  /** @return flows whose opening was sent, and those of them that a server took. */
+  std::size_t flowsStarted() const { return flows_started_; }
+  std::size_t flowsOpened() const { return flows_opened_; }
 
   /** Opens a flow to a route whose requests go to that service. */
   void open(Endpoint route, const std::string& service) {
@@ -38,17 +41,19 @@
     flow.step_at = SoakClock::now();
     sent_times_[{source, route}] = flow.step_at;
     flows_[source.port] = flow;
+    ++flows_started_;
     sendOpening(flows_[source.port]);
   }
 
-  void onPacket(const EndPacket& packet) {
+  /** @param sender a server, or the balancer that resets a flow. */
+  void onPacket(const EndPacket& packet, Endpoint sender) {
     const auto found = flows_.find(packet.destination.port);
     if (found == flows_.end() || found->second.route != packet.source) {
       return;
     }
     Flow& flow = found->second;
     if (packet.has(EndPacket::kReset)) {
-      onReset(flow, packet);
+      onReset(flow, packet, sender);
       finish(found);
     } else if (packet.has(EndPacket::kSyn)) {
       onOpened(flow, packet);
@@ -116,6 +121,7 @@
     if (flow.state != State::Opening) {
       return;
     }
+    ++flows_opened_;
     flow.echo = packet.echo;
     flow.next_from_server = packet.sequence + 1;
     ask(flow);
@@ -146,10 +152,10 @@
     send(flow, EndPacket::kAck, flow.next_of_ours, flow.next_from_server, "");
   }
 
-  void onReset(const Flow& flow, const EndPacket& packet) {
+  void onReset(const Flow& flow, const EndPacket& packet, Endpoint sender) {
     const bool is_open = flow.state != State::Opening;
     if (is_open && packet.sum == 0 && names_) {
-      monitor_.onForeignReset(toString(flow.source), names_(flow.echo, flow.source),
+      monitor_.onForeignReset(toString(flow.source), names_(flow.echo, flow.source), sender,
                               SoakClock::now());
     }
   }
@@ -205,6 +211,8 @@
   RequestId next_request_ = 1000000;
   std::size_t asked_ = 0;
   std::size_t served_ = 0;
+  std::size_t flows_started_ = 0;
+  std::size_t flows_opened_ = 0;
 };
 
 }  // namespace lugfork::soak
--- a/tests/platform/soak/packet_server.h
+++ b/tests/platform/soak/packet_server.h
@@ -6,6 +6,7 @@
 #include "platform/packetd_fixture.h"
 #include "platform/soak/packet_text.h"
 #include "platform/soak/promise_monitor.h"
+#include "platform/soak/zone_cut.h"
 
 namespace lugfork::soak {
 
@@ -15,10 +16,12 @@
   /** What clients have sent, so that a server can tell when an opening was sent. */
   using SentTimes = std::map<std::pair<Endpoint, Endpoint>, SoakTime>;
 
-  PacketServer(std::uint64_t incarnation, std::string service, PromiseMonitor& monitor,
-               const SentTimes& sent_times)
+  PacketServer(std::uint64_t incarnation, std::string service, std::string zone,
+               const ZoneCut& zone_cut, PromiseMonitor& monitor, const SentTimes& sent_times)
       : incarnation_(incarnation),
         service_(std::move(service)),
+        zone_(std::move(zone)),
+        zone_cut_(zone_cut),
         monitor_(monitor),
         sent_times_(sent_times) {}
 
@@ -29,9 +32,10 @@
   }
   std::string key() const { return "servers/" + name(); }
   const std::string& service() const { return service_; }
+  const std::string& zone() const { return zone_; }
   std::string entry(const std::string& state) const {
     return R"({"service":")" + service_ + R"(","address":")" + toString(socket_.address()) +
-           R"(","zone":"lac","version":"v1","capacity":2,"state":")" + state +
+           R"(","zone":")" + zone_ + R"(","version":"v1","capacity":2,"state":")" + state +
            R"(","warmup_left_ms":0,"seq":1})";
   }
   int descriptor() const { return socket_.descriptor(); }
@@ -44,8 +48,9 @@
 
   /** Reads one datagram and answers it. */
   void onReadable() {
-    const std::vector<std::uint8_t> bytes = socket_.receive();
-    if (is_silent_ || bytes.size() < kPrefixBytes || !isMeant(bytes)) {
+    const auto [bytes, balancer] = socket_.receiveFrom();
+    const bool is_reached = !is_silent_ && !zone_cut_.separates(balancer, zone_);
+    if (!is_reached || bytes.size() < kPrefixBytes || !isMeant(bytes)) {
       return;
     }
     const auto packet = EndPacket::decode(std::span(bytes).subspan(kPrefixBytes));
@@ -138,6 +143,8 @@
 
   const std::uint64_t incarnation_;
   const std::string service_;
+  const std::string zone_;
+  const ZoneCut& zone_cut_;
   PromiseMonitor& monitor_;
   const SentTimes& sent_times_;
   platform::TestSocket socket_;
--- a/tests/platform/soak/packetd_soak.cc
+++ b/tests/platform/soak/packetd_soak.cc
@@ -1,7 +1,7 @@
 /**
  * Real balancers on loopback under random faults. The short run of one seed is a test of its own;
  * make soak-processes plays further seeds, for SECONDS, from SEED on, with 6, 12 and 24 balancers
- * by turns, or NODES.
+ * by turns, or NODES; with PLAN=soak_cuts cuts of zones instead of single faults.
  */
 
 #include <algorithm>
@@ -22,6 +22,9 @@
 constexpr std::chrono::seconds kSlackOfShortRun{4};
 /** Its 20 faults are of 14 kinds, each kind of series among them. */
 constexpr std::uint64_t kSeedOfShortRun = 1626;
+/** One cut with slow processors, silent servers, a release and a planned stop in it. */
+constexpr std::uint64_t kSeedOfZoneRun = 1;
+constexpr std::chrono::seconds kZoneRunLength{13};
 
 std::uint64_t numberFrom(const char* variable, std::uint64_t otherwise) {
   const char* text = std::getenv(variable);
@@ -37,6 +40,10 @@
     const auto promise = static_cast<Promise>(number);
     std::printf(" %s %zu", toString(promise), world.monitor().checks(promise));
   }
+  if (world.monitor().checks(Promise::NewFlowsAvoidCutServers) > 0) {
+    std::printf("; %zu%% of new flows opened in the worst cut",
+                world.monitor().fewestOpenedInCut());
+  }
   std::printf("; %zu ended by a signal while starting; %zu breaches\n",
               world.nodes().endedWhileStarting(), world.monitor().breaches().size());
   for (const Breach& breach : world.monitor().breaches()) {
@@ -45,6 +52,26 @@
   std::fflush(stdout);
 }
 
+using DrawFaults = std::vector<Fault> (*)(std::uint64_t seed, std::chrono::milliseconds length);
+
+/** Plays seeds one after the other for as long as the environment says; fails where one did. */
+void playSeeds(const std::vector<std::string>& zones, DrawFaults draw) {
+  const auto end = SoakClock::now() + std::chrono::seconds(numberFrom("SOAK_SECONDS", 60));
+  std::uint64_t seed = numberFrom("SOAK_SEED", 1);
+  std::size_t failed_seeds = 0;
+  do {
+    SoakSettings settings;
+    settings.zones = zones;
+    settings.nodes = numberFrom("SOAK_NODES", kFleets[seed % kFleets.size()]);
+    SoakWorld world(seed, settings);
+    world.run(draw(seed, kRunLength), kRunLength);
+    report(seed, world);
+    failed_seeds += world.monitor().breaches().empty() ? 0 : 1;
+    ++seed;
+  } while (SoakClock::now() < end);
+  CHECK(failed_seeds == 0);
+}
+
 TEST_CASE("balancers keep their promises under the faults of one seed", "[soak_short]") {
   const std::vector<Fault> faults = drawFaults(kSeedOfShortRun, kShortRunLength);
   for (const FaultKind series : {FaultKind::RollNodes, FaultKind::SignalNode,
@@ -60,20 +87,26 @@
   CHECK(world.monitor().breaches().empty());
 }
 
+TEST_CASE(
+    "balancers keep their promises while a zone is cut off, servers fall silent and processors "
+    "are slow",
+    "[soak_zones]") {
+  SoakSettings settings;
+  settings.zones = {"lac", "sur"};
+  settings.bounds.slack = kSlackOfShortRun;
+  SoakWorld world(kSeedOfZoneRun, settings);
+  world.run(drawZoneFaults(kSeedOfZoneRun, kZoneRunLength), kZoneRunLength);
+  report(kSeedOfZoneRun, world);
+  CHECK(world.monitor().checks(Promise::NewFlowsAvoidCutServers) == 1);
+  CHECK(world.monitor().breaches().empty());
+}
+
+TEST_CASE("balancers keep their promises under random cuts of zones", "[.][soak_cuts]") {
+  playSeeds({"lac", "sur"}, drawZoneFaults);
+}
+
 TEST_CASE("balancers keep their promises under random faults", "[.][soak]") {
-  const auto end = SoakClock::now() + std::chrono::seconds(numberFrom("SOAK_SECONDS", 60));
-  std::uint64_t seed = numberFrom("SOAK_SEED", 1);
-  std::size_t failed_seeds = 0;
-  do {
-    SoakSettings settings;
-    settings.nodes = numberFrom("SOAK_NODES", kFleets[seed % kFleets.size()]);
-    SoakWorld world(seed, settings);
-    world.run(drawFaults(seed, kRunLength), kRunLength);
-    report(seed, world);
-    failed_seeds += world.monitor().breaches().empty() ? 0 : 1;
-    ++seed;
-  } while (SoakClock::now() < end);
-  CHECK(failed_seeds == 0);
+  playSeeds({"lac"}, drawFaults);
 }
 
 }  // namespace
--- a/tests/platform/soak/promise_monitor.cc
+++ b/tests/platform/soak/promise_monitor.cc
@@ -28,6 +28,8 @@
       return "answers_are_whole";
     case Promise::ServesAgain:
       return "serves_again";
+    case Promise::NewFlowsAvoidCutServers:
+      return "new_flows_avoid_cut_servers";
   }
   return "unknown";
 }
@@ -57,8 +59,10 @@
 }
 
 void PromiseMonitor::onForeignReset(const std::string& flow, const std::string& server,
-                                    SoakTime now) {
-  if (!isUndisturbed(now)) {
+                                    Endpoint balancer, SoakTime now) {
+  const bool is_inside_zone = !in_one_zone_ || in_one_zone_(balancer, server);
+  const bool is_reached = is_inside_zone || zone_cut_until_ + bounds_.contact < now;
+  if (!isUndisturbed(now) || !is_reached) {
     return;
   }
   const auto found = servers_disturbed_until_.find(server);
@@ -104,6 +108,18 @@
   known = std::max(known, until);
 }
 
+void PromiseMonitor::onZoneCut(SoakTime until) {
+  zone_cut_until_ = std::max(zone_cut_until_, until);
+}
+
+void PromiseMonitor::onFlowsInCut(std::size_t started, std::size_t opened) {
+  if (started > 0) {
+    fewest_opened_in_cut_ = std::min(fewest_opened_in_cut_, 100 * opened / started);
+  }
+  check(Promise::NewFlowsAvoidCutServers, started > 0 && 4 * opened >= 3 * started,
+        std::to_string(opened) + " of " + std::to_string(started) + " flows opened in the cut");
+}
+
 void PromiseMonitor::onPlannedStop(const std::string& node, int exit_code,
                                    std::chrono::milliseconds took) {
   check(Promise::PlannedStopEndsWell, exit_code == 0,
--- a/tests/platform/soak/promise_monitor.h
+++ b/tests/platform/soak/promise_monitor.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -42,7 +43,8 @@
   PlannedStopEndsInTime,
   AnswersAreWhole,
   ServesAgain,
-  Last = ServesAgain,
+  NewFlowsAvoidCutServers,
+  Last = NewFlowsAvoidCutServers,
 };
 
 /** Stable name of a promise, for reports. */
@@ -69,8 +71,20 @@
    */
   void onAnswer(RequestId waiting_for, RequestId answered);
 
-  /** A client gets a reset that is not its server's own on an open flow. */
-  void onForeignReset(const std::string& flow, const std::string& server, SoakTime now);
+  /** A client gets a balancer's reset on an open flow. */
+  void onForeignReset(const std::string& flow, const std::string& server, Endpoint balancer,
+                      SoakTime now);
+
+  /** Tells whether a balancer and a server are machines of one zone; without it all are. */
+  void setInOneZone(std::function<bool(Endpoint balancer, const std::string& server)> in_one_zone) {
+    in_one_zone_ = std::move(in_one_zone);
+  }
+
+  /** Until then balancers can't reach servers of other zones; those of their own they can. */
+  void onZoneCut(SoakTime until);
+
+  /** Of the flows that clients started late in a cut of a zone, so many were opened. */
+  void onFlowsInCut(std::size_t started, std::size_t opened);
 
   /** A server gets the opening of a flow that was sent then. */
   void onOpening(const std::string& server, const std::string& service, Endpoint route,
@@ -99,6 +113,8 @@
   std::size_t checks(Promise promise) const;
   /** @return the longest time after its drain that a server got an opening, disturbed or not. */
   std::chrono::milliseconds latestOpeningAfterDrain() const { return latest_after_drain_; }
+  /** @return the smallest share of new flows that were opened late in a cut [percent]. */
+  std::size_t fewestOpenedInCut() const { return fewest_opened_in_cut_; }
 
  private:
   struct Asked {
@@ -118,6 +134,9 @@
   std::map<std::string, SoakTime> leaving_;
   std::map<Endpoint, Moved> routes_;
   std::map<std::string, SoakTime> servers_disturbed_until_;
+  std::function<bool(Endpoint, const std::string&)> in_one_zone_;
+  SoakTime zone_cut_until_;
+  std::size_t fewest_opened_in_cut_ = 100;
   SoakTime disturbed_until_;
   std::chrono::milliseconds latest_after_drain_{};
   std::map<Promise, std::size_t> checks_;
--- a/tests/platform/soak/promise_monitor_test.cc
+++ b/tests/platform/soak/promise_monitor_test.cc
@@ -12,6 +12,7 @@
 using std::chrono::seconds;
 
 const Endpoint kRoute{0xc6120001, 8443};
+const Endpoint kBalancer{0x7f000001, 443};
 const SoakTime kStart = SoakTime(seconds(1000));
 
 struct MonitorHarness {
@@ -35,6 +36,8 @@
   monitor.onPlannedStop("n", 0, seconds(5));
   monitor.onConnections(100, 0);
   monitor.onQuietTime(100, 100);
+  monitor.onFlowsInCut(100, 75);
+  CHECK(monitor.fewestOpenedInCut() == 75);
   CHECK(monitor.breaches().empty());
 }
 
@@ -59,9 +62,29 @@
     CHECK(harness.broke(Promise::OwnService));
   }
   SECTION("a reset of a living server's flow") {
-    monitor.onForeignReset("flow", "s1", kStart);
+    monitor.onForeignReset("flow", "s1", kBalancer, kStart);
     CHECK(harness.broke(Promise::LivingFlowsHold));
   }
+  SECTION("a reset of a flow inside a zone that is cut off") {
+    monitor.setInOneZone([](Endpoint, const std::string& server) { return server == "s1"; });
+    monitor.onZoneCut(kStart + seconds(5));
+    monitor.onForeignReset("flow", "s1", kBalancer, kStart + seconds(2));
+    CHECK(harness.broke(Promise::LivingFlowsHold));
+  }
+  SECTION("a reset of a flow to another zone long after a cut") {
+    monitor.setInOneZone([](Endpoint, const std::string& server) { return server == "s1"; });
+    monitor.onZoneCut(kStart + seconds(5));
+    monitor.onForeignReset("flow", "s2", kBalancer, kStart + seconds(10));
+    CHECK(harness.broke(Promise::LivingFlowsHold));
+  }
+  SECTION("new flows to servers that are cut off") {
+    monitor.onFlowsInCut(100, 74);
+    CHECK(harness.broke(Promise::NewFlowsAvoidCutServers));
+  }
+  SECTION("no flow in a cut") {
+    monitor.onFlowsInCut(0, 0);
+    CHECK(harness.broke(Promise::NewFlowsAvoidCutServers));
+  }
   SECTION("a new flow on a leaving server") {
     monitor.onLeaving("s1", kStart);
     monitor.onOpening("s1", "a", kRoute, kStart + seconds(5), kStart + seconds(5));
@@ -100,9 +123,18 @@
   monitor.onDisturbed(kStart);
   monitor.onLeaving("s1", kStart + seconds(1));
   monitor.onOpening("s1", "a", kRoute, kStart + seconds(7), kStart + seconds(7));
-  monitor.onForeignReset("flow", "s2", kStart + seconds(3));
+  monitor.onForeignReset("flow", "s2", kBalancer, kStart + seconds(3));
   monitor.onServerDisturbed("s3", kStart + seconds(18));
-  monitor.onForeignReset("flow", "s3", kStart + seconds(20));
+  monitor.onForeignReset("flow", "s3", kBalancer, kStart + seconds(20));
+  CHECK(monitor.breaches().empty());
+}
+
+TEST_CASE("a reset between two zones breaks nothing while they are cut off", "[soak_monitor]") {
+  MonitorHarness harness;
+  PromiseMonitor& monitor = harness.monitor;
+  monitor.setInOneZone([](Endpoint, const std::string&) { return false; });
+  monitor.onZoneCut(kStart + seconds(5));
+  monitor.onForeignReset("flow", "s1", kBalancer, kStart + seconds(2));
   CHECK(monitor.breaches().empty());
 }
 
--- a/tests/platform/soak/server_pool.h
+++ b/tests/platform/soak/server_pool.h
@@ -15,10 +15,11 @@
   using CallAfter = std::function<void(std::chrono::milliseconds, std::function<void()>)>;
 
   /** @param client_port port at which clients take the servers' packets. */
-  ServerPool(platform::StoreStandin& store, PromiseMonitor& monitor,
+  ServerPool(platform::StoreStandin& store, const ZoneCut& zone_cut, PromiseMonitor& monitor,
              const PacketServer::SentTimes& sent_times, std::uint16_t client_port,
              CallAfter call_after)
       : store_(store),
+        zone_cut_(zone_cut),
         monitor_(monitor),
         sent_times_(sent_times),
         client_port_(client_port),
@@ -32,9 +33,17 @@
     return found == names_by_id_.end() ? "" : found->second;
   }
 
-  void start(const std::string& service) {
+  /** @return the zone of the server of that name, also where it has ended; empty for none. */
+  std::string zoneOf(const std::string& name) const {
+    const auto found = zones_by_name_.find(name);
+    return found == zones_by_name_.end() ? "" : found->second;
+  }
+
+  void start(const std::string& service, const std::string& zone) {
     const std::uint64_t incarnation = kFirstIncarnation + next_incarnation_++;
-    PacketServer& server = servers_.emplace_back(incarnation, service, monitor_, sent_times_);
+    PacketServer& server =
+        servers_.emplace_back(incarnation, service, zone, zone_cut_, monitor_, sent_times_);
+    zones_by_name_[server.name()] = zone;
     server.setClientPort(client_port_);
     names_by_id_[backendIdOfIncarnation(incarnation)] = server.name();
     announced_.insert(server.key());
@@ -47,7 +56,7 @@
     if (old_server == nullptr) {
       return;
     }
-    start(old_server->service());
+    start(old_server->service(), old_server->zone());
     const std::string key = old_server->key();
     const std::string name = old_server->name();
     announced_.erase(key);
@@ -68,11 +77,12 @@
     }
     const std::string key = server->key();
     const std::string service = server->service();
+    const std::string zone = server->zone();
     announced_.erase(key);
     server->setSilent(true);
     monitor_.onServerDisturbed(server->name(), kForGood);
     call_after_(kLapse, [this, key] { store_.remove(key); });
-    call_after_(duration, [this, service] { start(service); });
+    call_after_(duration, [this, service, zone] { start(service, zone); });
     call_after_(kLapse + kServesOn, [this, key] { end(key); });
   }
 
@@ -147,12 +157,14 @@
   }
 
   platform::StoreStandin& store_;
+  const ZoneCut& zone_cut_;
   PromiseMonitor& monitor_;
   const PacketServer::SentTimes& sent_times_;
   const std::uint16_t client_port_;
   const CallAfter call_after_;
   std::list<PacketServer> servers_;
   std::map<BackendId, std::string> names_by_id_;
+  std::map<std::string, std::string> zones_by_name_;
   /** Keys of servers that want to be found. */
   std::set<std::string> announced_;
   std::uint64_t next_incarnation_ = 0;
--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -13,6 +13,8 @@
 /** How large a soak is, and what it allows the machine. */
 struct SoakSettings {
   std::size_t nodes = 6;
+  /** Balancers and servers are in these by turns. */
+  std::vector<std::string> zones{"lac"};
   PromiseBounds bounds;
 };
 
@@ -24,14 +26,15 @@
 class SoakWorld {
  public:
   SoakWorld(std::uint64_t seed, const SoakSettings& settings)
-      : random_(makeSeededRandom(seed)),
+      : zones_(settings.zones),
+        random_(makeSeededRandom(seed)),
         monitor_(settings.bounds),
         tokens_(keyOfTests()),
         client_(kClientAddress, *random_, monitor_, sent_times_,
                 [this](const EndPacket& packet) { route(packet); }),
         port_(platform::TestSocket().address().port),
         client_socket_(kClientAddress, port_),
-        pool_(store_, monitor_, sent_times_, port_,
+        pool_(store_, zone_cut_, monitor_, sent_times_, port_,
               [this](milliseconds delay, std::function<void()> function) {
                 scheduleAfter(delay, std::move(function));
               }) {
@@ -40,10 +43,16 @@
     publishRoutes();
     for (const char* service : {kFirstService, kSecondService}) {
       for (int count = 0; count < kServersOfService; ++count) {
-        pool_.start(service);
+        pool_.start(service, zones_[static_cast<std::size_t>(count) % zones_.size()]);
       }
     }
-    nodes_ = std::make_unique<NodeFleet>(settings.nodes, port_, store_.address(), monitor_);
+    nodes_ = std::make_unique<NodeFleet>(settings.nodes, zones_, port_, store_.address(), zone_cut_,
+                                         monitor_);
+    if (zones_.size() > 1) {
+      monitor_.setInOneZone([this](Endpoint balancer, const std::string& server) {
+        return zone_cut_.zoneOf(balancer) == pool_.zoneOf(server);
+      });
+    }
   }
 
   SoakWorld(const SoakWorld&) = delete;
@@ -90,6 +99,10 @@
   /** A series of planned work: steps, and the pause between two. */
   static constexpr std::uint32_t kSeriesSteps = 4;
   static constexpr milliseconds kSeriesGap{250};
+  /** From so long after the start of a cut on, new flows go to servers that can be reached. */
+  static constexpr milliseconds kCutIsKnown{2500};
+  /** All balancers but one in so many get slow processors. */
+  static constexpr std::uint32_t kNodesToOneFast = 3;
   const Endpoint fixed_route_{0xc6120001, 443};
   const Endpoint moving_route_{0xc6120001, 8443};
 
@@ -148,12 +161,19 @@
       }
       if (readers[index] != nullptr) {
         readers[index]->onReadable();
-      } else if (const auto packet = EndPacket::decode(client_socket_.receive())) {
-        client_.onPacket(*packet);
+      } else {
+        readForClient();
       }
     }
   }
 
+  void readForClient() {
+    const auto [bytes, sender] = client_socket_.receiveFrom();
+    if (const auto packet = EndPacket::decode(bytes)) {
+      client_.onPacket(*packet, sender);
+    }
+  }
+
   // Traffic.
   void openFlow() {
     if (random_->below(2) == 0) {
@@ -169,7 +189,9 @@
     const std::uint16_t flow = packet.source.port;
     // Every second flow's router does not notice that a balancer is about to stop.
     const bool holds = flow % 2 == 1;
-    const auto balancer = nodes_->pick(flow, packet.has(EndPacket::kSyn), holds);
+    // Routers send a client's flows to the balancers of its zone.
+    const std::string zone = zones_.size() == 1 ? "" : zones_[flow / 2 % zones_.size()];
+    const auto balancer = nodes_->pick(flow, packet.has(EndPacket::kSyn), holds, zone);
     if (is_lost || !balancer) {
       return;
     }
@@ -241,6 +263,30 @@
     });
   }
 
+  // Zones.
+  void cutZone(std::uint32_t target, milliseconds duration) {
+    zone_cut_.cutOff(zones_[target % zones_.size()]);
+    monitor_.onZoneCut(SoakClock::now() + duration);
+    scheduleAfter(kCutIsKnown, [this, rest = duration - kCutIsKnown] {
+      const std::size_t started = client_.flowsStarted();
+      const std::size_t opened = client_.flowsOpened();
+      scheduleAfter(rest, [this, started, opened] {
+        monitor_.onFlowsInCut(client_.flowsStarted() - started, client_.flowsOpened() - opened);
+        zone_cut_.heal();
+      });
+    });
+  }
+
+  void slowNodes(std::uint32_t target, milliseconds duration) {
+    for (std::uint32_t node = 0; node < nodes_->size(); ++node) {
+      if ((node + target) % kNodesToOneFast == 0) {
+        continue;
+      }
+      nodes_->slowDown(node);
+      scheduleAfter(duration, [this, node] { nodes_->endSlowness(node); });
+    }
+  }
+
   // Faults.
   void disturb(milliseconds duration) { monitor_.onDisturbed(SoakClock::now() + duration); }
 
@@ -314,10 +360,16 @@
         return inSeries([this, fault](std::uint32_t step) { pool_.replace(fault.target + step); });
       case FaultKind::MoveRoutes:
         return inSeries([this](std::uint32_t) { moveRoute(); });
+      case FaultKind::CutZone:
+        return cutZone(fault.target, fault.duration);
+      case FaultKind::SlowNodes:
+        return slowNodes(fault.target, fault.duration);
     }
   }
 
+  const std::vector<std::string> zones_;
   std::unique_ptr<RandomGenerator> random_;
+  ZoneCut zone_cut_;
   PromiseMonitor monitor_;
   CompactTokenCodec tokens_;
   PacketServer::SentTimes sent_times_;
