--- a/src/balancer/node.cc
+++ b/src/balancer/node.cc
@@ -55,7 +55,6 @@
       time_source_(time_source),
       outputs_(outputs),
       log_(log),
-      store_(settings_.shared_configurations),
       loads_(settings_.load, time_source),
       placement_(settings_.placement, makePlacementPolicy(settings_.placement_policy), loads_,
                  time_source, random),
--- a/src/balancer/node.h
+++ b/src/balancer/node.h
@@ -55,8 +55,6 @@
   JoinSettings join;
   ProbeSettings probes;
   LoadSpreadSettings load_spread;
-  /** Set for hollow nodes of one process only. */
-  std::shared_ptr<SharedConfigurations> shared_configurations;
 };
 
 /** How the node stands with the rest of the fleet. */
@@ -75,7 +73,7 @@
 
 /**
  * One balancer without its sockets and clocks: inputs come as calls, outputs go to NodeOutputs.
- * Runs in the daemon, in the simulator and, many to a process, as hollow node.
+ * Runs in the daemon, in the simulator and in tests of the cluster.
  */
 class Node : private FlowRouterHost, private MembershipHost, private ConfigurationSpreadHost {
  public:
--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -44,7 +44,7 @@
                      std::initializer_list<LogField> fields) = 0;
 };
 
-/** EventLog that drops everything, for tests and hollow nodes. */
+/** EventLog that drops everything, for tests. */
 class NullEventLog : public EventLog {
  public:
   void write(LogLevel, std::string_view, std::string_view,
--- a/src/config/configuration_store.cc
+++ b/src/config/configuration_store.cc
@@ -44,24 +44,16 @@
   if (text_digest == last_text_digest_) {
     return last_text_id_ == ConfigurationId() ? OfferOutcome::Invalid : weigh(last_text_id_);
   }
-  const ConfigurationId shared_id = shared_ ? shared_->findText(text_digest) : ConfigurationId();
-  ConfigurationViewPtr view = findShared(shared_id);
-  ConfigurationId id = shared_id;
   last_text_digest_ = text_digest;
   last_text_id_ = ConfigurationId();
-  if (view == nullptr) {
-    auto parsed = parseConfigurationDocument(json_text);
-    if (!parsed) {
-      return reject(parsed.error());
-    }
-    sortResources(parsed.value());
-    view = std::make_shared<const ConfigurationView>(std::move(parsed.value()));
-    id = {view->version(), configurationDigest(*view)};
+  auto parsed = parseConfigurationDocument(json_text);
+  if (!parsed) {
+    return reject(parsed.error());
   }
+  sortResources(parsed.value());
+  auto view = std::make_shared<const ConfigurationView>(std::move(parsed.value()));
+  const ConfigurationId id{view->version(), configurationDigest(*view)};
   last_text_id_ = id;
-  if (shared_) {
-    shared_->addText(text_digest, id);
-  }
   const OfferOutcome outcome = weigh(id);
   if (outcome != OfferOutcome::Adopted && outcome != OfferOutcome::ConflictAdopted) {
     return outcome;
@@ -82,14 +74,11 @@
   if (!from_empty && delta.from != id_) {
     return OfferOutcome::BaseMissing;
   }
-  ConfigurationViewPtr view = findShared(delta.to);
-  if (view == nullptr) {
-    auto applied = applyDelta(from_empty ? nullptr : in_force_.get(), delta.from.digest, delta);
-    if (!applied) {
-      return reject(applied.error());
-    }
-    view = std::make_shared<const ConfigurationView>(std::move(applied.value()));
+  auto applied = applyDelta(from_empty ? nullptr : in_force_.get(), delta.from.digest, delta);
+  if (!applied) {
+    return reject(applied.error());
   }
+  auto view = std::make_shared<const ConfigurationView>(std::move(applied.value()));
   // A delta from an empty configuration would replace all that others hold: not for the history.
   auto kept = from_empty ? nullptr : std::make_shared<const ConfigurationDelta>(delta);
   return adopt(outcome, delta.to, std::move(view), std::move(kept));
@@ -174,9 +163,6 @@
   id_ = id;
   last_problems_.clear();
   bucket_index_.reset();
-  if (shared_) {
-    shared_->add(id_, in_force_);
-  }
   remember(std::move(delta));
   return outcome;
 }
@@ -197,10 +183,6 @@
   }
 }
 
-ConfigurationViewPtr ConfigurationStore::findShared(const ConfigurationId& id) const {
-  return shared_ && id != ConfigurationId() ? shared_->find(id) : nullptr;
-}
-
 const char* toString(OfferOutcome outcome) {
   switch (outcome) {
     case OfferOutcome::Adopted:
--- a/src/config/configuration_store.h
+++ b/src/config/configuration_store.h
@@ -24,21 +24,6 @@
   BaseMissing,
 };
 
-/**
- * Configurations shared by many nodes of one process. A hollow node takes a view that another one
- * built, instead of building its own; a daemon has none.
- */
-class SharedConfigurations {
- public:
-  virtual ~SharedConfigurations() = default;
-  /** @return the view with that id, or nullptr. */
-  virtual ConfigurationViewPtr find(const ConfigurationId& id) const = 0;
-  /** @return id of the configuration in a text that was parsed before; unset if it was not. */
-  virtual ConfigurationId findText(std::uint64_t text_digest) const = 0;
-  virtual void add(const ConfigurationId& id, ConfigurationViewPtr view) = 0;
-  virtual void addText(std::uint64_t text_digest, const ConfigurationId& id) = 0;
-};
-
 /** Resources of a configuration divided into buckets by a hash of their key. */
 struct BucketIndex {
   std::vector<std::vector<ResourceKey>> keys;
@@ -58,9 +43,6 @@
  */
 class ConfigurationStore {
  public:
-  explicit ConfigurationStore(std::shared_ptr<SharedConfigurations> shared = nullptr)
-      : shared_(std::move(shared)) {}
-
   /** Offers a JSON document from the platform. */
   OfferOutcome offer(const std::string& json_text);
 
@@ -102,9 +84,7 @@
                      std::shared_ptr<const ConfigurationDelta> delta);
   OfferOutcome reject(DocumentProblems problems);
   void remember(std::shared_ptr<const ConfigurationDelta> delta);
-  ConfigurationViewPtr findShared(const ConfigurationId& id) const;
 
-  std::shared_ptr<SharedConfigurations> shared_;
   ConfigurationViewPtr in_force_;
   ConfigurationId id_;
   DocumentProblems last_problems_;
--- a/src/programs/lugfork_sim.cc
+++ b/src/programs/lugfork_sim.cc
@@ -9,7 +9,6 @@
   app.require_subcommand(1);
   lugfork::CommandBody run;
   lugfork::addRunCommand(app, run);
-  lugfork::addSpreadCommand(app, run);
   lugfork::addReportCommand(app, run);
   return lugfork::runProgram(app, argc, argv, [&run] { return run(); });
 }
--- a/src/programs/sim_commands.h
+++ b/src/programs/sim_commands.h
@@ -11,9 +11,6 @@
 /** run: scenarios with faults, and the promises checked. */
 void addRunCommand(CLI::App& app, CommandBody& run);
 
-/** spread: hollow nodes, how fast changes spread and what control costs. */
-void addSpreadCommand(CLI::App& app, CommandBody& run);
-
 /** report: turns JSON results into a page. */
 void addReportCommand(CLI::App& app, CommandBody& run);
 
--- a/src/sim/hollow_fleet.cc
+++ b/src/sim/hollow_fleet.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "wire/peer_codec.h"
-
 namespace lugfork {
 
 namespace {
@@ -31,24 +29,6 @@
 
 }  // namespace
 
-ConfigurationViewPtr SharedConfigurationCache::find(const ConfigurationId& id) const {
-  const auto found = views_.find(id);
-  return found == views_.end() ? nullptr : found->second;
-}
-
-ConfigurationId SharedConfigurationCache::findText(std::uint64_t text_digest) const {
-  const auto found = texts_.find(text_digest);
-  return found == texts_.end() ? ConfigurationId() : found->second;
-}
-
-void SharedConfigurationCache::add(const ConfigurationId& id, ConfigurationViewPtr view) {
-  views_.emplace(id, std::move(view));
-}
-
-void SharedConfigurationCache::addText(std::uint64_t text_digest, const ConfigurationId& id) {
-  texts_[text_digest] = id;
-}
-
 /** One hollow node: the Node, its process and the outputs around it. */
 class HollowFleet::HollowNode : public NodeOutputs {
  public:
@@ -86,13 +66,10 @@
   void sendPeerMessage(Endpoint peer, const PeerMessage& message) override {
     const std::size_t bytes =
         fleet_.network_.sendPeerMessage(process_, settings_.peer_address, peer, message);
-    ++counters_.messages_sent;
-    counters_.bytes_sent += bytes;
     counters_.largest_message = std::max<std::uint64_t>(counters_.largest_message, bytes);
   }
 
   void readPlatformConfiguration() override {
-    ++counters_.platform_reads;
     process_.runAfter(kPlatformDelay, [this] {
       if (fleet_.platformReachable(settings_.zone)) {
         node_->onPlatformConfiguration(fleet_.platformTextFor(settings_.zone));
@@ -110,7 +87,6 @@
   }
 
   void probeBackend(const Backend& backend) override {
-    ++counters_.probes;
     process_.runAfter(kProbeDelay, [this, backend] {
       node_->onBackendReport(fleet_.reportOf(backend, process_.timeSource()));
     });
@@ -123,13 +99,7 @@
   }
 
   void onPeerMessage(Endpoint from, const PeerMessage& message) {
-    if (fleet_.settings_.decode_messages) {
-      const Bytes bytes = encodePeerMessage(message);
-      counters_.bytes_received += bytes.size();
-      node_->onPeerMessage(from, decodePeerMessage(bytes).value());
-    } else {
-      node_->onPeerMessage(from, message);
-    }
+    node_->onPeerMessage(from, message);
     noteVersion();
   }
 
@@ -148,15 +118,12 @@
     : settings_(std::move(settings)),
       random_(makeSeededRandom(settings_.seed)),
       network_(queue_, *random_, settings_.links),
-      shared_(settings_.share_configurations ? std::make_shared<SharedConfigurationCache>()
-                                             : nullptr),
       versions_(settings_.nodes) {
   for (std::size_t index = 0; index < settings_.nodes; ++index) {
     NodeSettings node = settings_.node;
     node.name = nodeName(index);
     node.zone = zoneName(index % settings_.zones);
     node.peer_address = {kNodeNetwork + static_cast<std::uint32_t>(index) + 1, kPeerPort};
-    node.shared_configurations = shared_;
     nodes_.push_back(std::make_unique<HollowNode>(*this, index, std::move(node)));
     machines_.push_back(machineOf(index));
   }
@@ -221,16 +188,6 @@
   }
 }
 
-void HollowFleet::introduceAll() {
-  MembersReply everyone;
-  for (const auto& node : nodes_) {
-    everyone.members.push_back(node->node()->membership().self());
-  }
-  for (const auto& node : nodes_) {
-    node->node()->onPeerMessage(Endpoint(), everyone);
-  }
-}
-
 void HollowFleet::kill(std::size_t index) {
   nodes_[index]->kill();
 }
@@ -314,16 +271,6 @@
   });
 }
 
-bool HollowFleet::anyHasVersion(ConfigVersion version) const {
-  return std::any_of(nodes_.begin(), nodes_.end(), [version](const auto& node) {
-    return node->node() != nullptr && node->node()->configuration().version() == version;
-  });
-}
-
-std::uint64_t HollowFleet::wallClockMilliseconds() const {
-  return toUnixMilliseconds(ProcessTimeSource(queue_, Duration()).systemTime());
-}
-
 bool HollowFleet::allBelieve(std::size_t index, MemberState state) const {
   const std::string name = nodeName(index);
   for (std::size_t other = 0; other < nodes_.size(); ++other) {
@@ -358,10 +305,7 @@
   BackendReport report;
   report.backend = backend.id;
   report.measured_at_ms = toUnixMilliseconds(time_source.systemTime());
-  report.reachable = !unreachable_.contains(backend.id);
-  if (!report.reachable) {
-    return report;
-  }
+  report.reachable = true;
   const std::uint64_t period = report.measured_at_ms / kLoadPeriodMilliseconds;
   const std::uint64_t noise = mix(period * 1000003 + backend.id.value());
   report.draining = draining_.contains(backend.id);
--- a/src/sim/hollow_fleet.h
+++ b/src/sim/hollow_fleet.h
@@ -8,19 +8,6 @@
 
 namespace lugfork {
 
-/** SharedConfigurations for the hollow nodes of one process. */
-class SharedConfigurationCache : public SharedConfigurations {
- public:
-  ConfigurationViewPtr find(const ConfigurationId& id) const override;
-  ConfigurationId findText(std::uint64_t text_digest) const override;
-  void add(const ConfigurationId& id, ConfigurationViewPtr view) override;
-  void addText(std::uint64_t text_digest, const ConfigurationId& id) override;
-
- private:
-  std::map<ConfigurationId, ConfigurationViewPtr> views_;
-  std::map<std::uint64_t, ConfigurationId> texts_;
-};
-
 /** Sizes and timing of a fleet of hollow nodes. */
 struct HollowFleetSettings {
   std::size_t nodes = 3;
@@ -30,27 +17,18 @@
   std::uint64_t seed = 1;
   Duration tick = milliseconds(100);
   LinkSettings links;
-  /** Nodes take configurations that another one built; needed for large ones only. */
-  bool share_configurations = false;
-  /** Decode each message at its receiver, for honest figures of processor time. */
-  bool decode_messages = false;
   /** Settings of each node, but for its name, zone and address. */
   NodeSettings node;
 };
 
-/** What one hollow node sent and received, all lives together. */
+/** What one hollow node sent, all lives together. */
 struct HollowNodeCounters {
-  std::uint64_t messages_sent = 0;
-  std::uint64_t bytes_sent = 0;
-  std::uint64_t bytes_received = 0;
   std::uint64_t largest_message = 0;
-  std::uint64_t platform_reads = 0;
-  std::uint64_t probes = 0;
 };
 
 /**
  * Many real Nodes in one process on a virtual clock, with a platform and back ends that answer
- * probes; no data path. For the spread of knowledge and its cost.
+ * probes; no data path. For tests of what nodes tell each other under faults.
  */
 class HollowFleet {
  public:
@@ -64,8 +42,6 @@
   void start(std::size_t index);
   void startAll();
 
-  /** Gives every node the list of all members, as if the fleet had run for long. */
-  void introduceAll();
   void kill(std::size_t index);
   void pause(std::size_t index);
   void resume(std::size_t index);
@@ -102,17 +78,11 @@
   std::vector<Machine>& machineList() { return machines_; }
   Machine machineOf(std::size_t index) const;
 
-  /** Makes a back end answer probes as draining or not at all. */
+  /** Makes a back end answer probes as draining. */
   void setDraining(BackendId backend) { draining_.insert(backend); }
-  void setUnreachable(BackendId backend) { unreachable_.insert(backend); }
 
   /** @return true if all running nodes have that version in force. */
   bool allHaveVersion(ConfigVersion version) const;
-  /** @return true if any running node has that version in force. */
-  bool anyHasVersion(ConfigVersion version) const;
-
-  /** @return the wall clock of all nodes, in milliseconds since the Unix epoch. */
-  std::uint64_t wallClockMilliseconds() const;
 
   /** @return true if all running nodes believe that of the other node. */
   bool allBelieve(std::size_t index, MemberState state) const;
@@ -134,14 +104,12 @@
   std::unique_ptr<RandomGenerator> random_;
   SimulatedNetwork network_;
   NullEventLog log_;
-  std::shared_ptr<SharedConfigurationCache> shared_;
   std::vector<std::unique_ptr<HollowNode>> nodes_;
   std::vector<Machine> machines_;
   std::string platform_text_;
   std::map<std::string, std::string> replicas_;
   std::set<std::string> cut_from_platform_;
   std::set<BackendId> draining_;
-  std::set<BackendId> unreachable_;
   std::vector<ConfigVersion> versions_;
   std::uint64_t reverts_ = 0;
 };
