--- a/src/sim/fault_injector.h
+++ b/src/sim/fault_injector.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "sim/fleet.h"
+#include "sim/planned_work.h"
 
 namespace lugfork {
 
 /** Makes the faults of a table happen in a fleet, and records them for the checks. */
 class FaultInjector {
  public:
-  explicit FaultInjector(Fleet& fleet) : fleet_(fleet) {}
+  explicit FaultInjector(Fleet& fleet) : fleet_(fleet), planned_work_(fleet) {}
 
   /** Schedules all faults; their times count from now. */
   void schedule(const std::vector<Fault>& faults);
@@ -29,21 +29,7 @@
   void plannedStop(const Fault& fault);
   void rollingRestart(const Fault& fault);
   void lossyLinks(const Fault& fault);
-  void withdrawZone(const Fault& fault);
 
-  /** Stops a balancer as an operator would, and starts it again. @param done runs after that. */
-  void stopBalancer(SimulatedNode& balancer, Duration down_time, const std::function<void()>& done);
-
-  /** Drains a back end, waits until it is empty, stops it and starts it again. */
-  void stopBackend(SimulatedBackend& backend, Duration down_time,
-                   const std::function<void()>& done);
-  void stopWhenEmpty(SimulatedBackend& backend, std::uint64_t generation, std::size_t stop,
-                     Duration down_time, const std::function<void()>& done);
-  void restartOneAfterTheOther(std::vector<std::string> names, Duration down_time);
-
-  void startDrain(SimulatedBackend& backend, bool told);
-  void endDrain(SimulatedBackend& backend);
-  void declareDraining(BackendId backend, bool draining);
   void recordOutage(BackendId backend, Duration duration);
   void recordIsolation(Duration duration);
 
@@ -52,7 +38,7 @@
   std::vector<std::size_t> replicasOf(const Fault& fault) const;
 
   Fleet& fleet_;
-  std::map<BackendId, std::uint32_t> drains_in_force_;
+  PlannedWork planned_work_;
 };
 
 }  // namespace lugfork
