--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -24,6 +24,7 @@
       decoder_(layout.decoder),
       scheduler_(scheduler),
       log_(log),
+      work_(log),
       registry_(settings_.retired_for, time_source, log),
       loads_(settings_.load, time_source),
       placement_(placementSettingsOf(settings_), makePlacementPolicy(settings_.placement_policy),
@@ -99,9 +100,12 @@
 }
 
 void PacketNode::onItems(const std::vector<ItemChange>& changes) {
-  for (const ItemChange& change : changes) {
-    onChange(change);
-  }
+  work_.measure(ControlWork::Items, [&] {
+    for (const ItemChange& change : changes) {
+      onChange(change);
+    }
+    return static_cast<std::uint64_t>(changes.size());
+  });
   applySoon();
 }
 
@@ -156,7 +160,7 @@
     onDeletion(item);
     return;
   }
-  const auto decoded = decoder_.decode(item.key, item.value);
+  auto decoded = decoder_.decode(item.key, item.value);
   if (!decoded) {
     ++counters_.records_invalid;
     log_.write(LogLevel::Error, "discovery", "record_invalid",
@@ -165,8 +169,8 @@
   }
   if (const auto* server = std::get_if<ServerRecord>(&decoded.value())) {
     registry_.onServer(item.key, *server, item.revision, item.created);
-  } else if (const auto* table = std::get_if<RouteTable>(&decoded.value())) {
-    registry_.onRoutes(*table, item.revision);
+  } else if (auto* table = std::get_if<RouteTable>(&decoded.value())) {
+    registry_.onRoutes(std::move(*table), item.revision);
   } else if (const auto* zone = std::get_if<ZoneOutOfService>(&decoded.value())) {
     registry_.onZoneOutOfService(item.key, *zone, item.revision);
   }
@@ -210,11 +214,7 @@
 void PacketNode::apply() {
   apply_pending_ = false;
   ++counters_.configurations_applied;
-  const ConfigurationViewPtr configuration = registry_.makeConfiguration();
-  silence_.retain(*configuration);
-  response_times_.retain(*configuration);
-  observer_.retain(*configuration);
-  decider_.setConfiguration(configuration);
+  work_.measure(ControlWork::Configuration, [this] { return updateConfiguration(); });
   zones_out_of_service_ = registry_.zonesOutOfService();
   // The operator's first routes may come after the first full read.
   if (isComplete() && on_complete_) {
@@ -222,6 +222,28 @@
   }
 }
 
+std::uint64_t PacketNode::updateConfiguration() {
+  const std::uint64_t routes_before = registry_.counters().routes_made;
+  const ConfigurationChanges changes = registry_.updateConfiguration();
+  if (decider_.configuration() == nullptr) {
+    decider_.setConfiguration(registry_.configuration());
+  } else {
+    decider_.onConfigurationChanged(changes);
+  }
+  if (!changes.removed.empty()) {
+    forgetRemoved();
+  }
+  return changes.backends.size() + changes.removed.size() + registry_.counters().routes_made -
+         routes_before;
+}
+
+void PacketNode::forgetRemoved() {
+  const ConfigurationView& configuration = *registry_.configuration();
+  silence_.retain(configuration);
+  response_times_.retain(configuration);
+  observer_.retain(configuration);
+}
+
 void PacketNode::scheduleComparison() {
   scheduler_.callAfter(kComparisonInterval, [this] {
     if (decider_.configuration() != nullptr) {
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "balancer/control_work_meter.h"
 #include "common/event_log.h"
 #include "common/scheduler.h"
 #include "discovery/backend_registry.h"
@@ -106,12 +107,18 @@
     on_response_ = std::move(callback);
   }
 
+  /** Sets the clock by which control work is measured. */
+  void setProcessorClock(const ProcessorClock& clock) { work_.setClock(clock); }
+  const ControlWorkMeter& controlWork() const { return work_; }
+
   const PacketCounters& packetCounters() const { return router_.counters(); }
   const PacketNodeCounters& counters() const { return counters_; }
   const ViewFollower& follower() const { return follower_; }
   /** @return the zones whose servers get no new flow, by the configuration in force. */
   std::size_t zonesOutOfService() const { return zones_out_of_service_; }
   std::uint64_t routesVersion() const { return registry_.routesVersion(); }
+  const BackendRegistryCounters& registryCounters() const { return registry_.counters(); }
+  std::uint64_t candidatesMade() const { return placement_.candidatesMade(); }
 
  private:
   // PacketRouterHost
@@ -142,6 +149,9 @@
   void scheduleRetirement();
   void applySoon();
   void apply();
+  /** @return the back ends and routes that have changed. */
+  std::uint64_t updateConfiguration();
+  void forgetRemoved();
   void scheduleCleanup();
   void scheduleComparison();
 
@@ -149,6 +159,7 @@
   const RecordDecoder& decoder_;
   Scheduler& scheduler_;
   EventLog& log_;
+  ControlWorkMeter work_;
   BackendRegistry registry_;
   BackendLoadTable loads_;
   PlacementEngine placement_;
--- a/src/config/configuration.cc
+++ b/src/config/configuration.cc
@@ -38,13 +38,9 @@
 
 ConfigurationView::ConfigurationView(Configuration configuration)
     : document_(std::move(configuration)) {
-  for (const Zone& zone : document_.zones) {
-    zones_[zone.id] = &zone;
-  }
+  indexServices();
   for (const Service& service : document_.services) {
-    services_[service.id] = &service;
     if (service.address.isSet()) {
-      services_by_address_[service.address] = &service;
       routes_[service.address] = Route{service.address, {{service.id, 1}}};
     }
   }
@@ -52,12 +48,7 @@
     routes_[route.address] = route;
   }
   for (const Backend& backend : document_.backends) {
-    backends_[backend.id] = &backend;
-    if (backend.retired) {
-      continue;
-    }
-    backends_by_address_[backend.address] = &backend;
-    backends_by_service_[backend.service].push_back(&backend);
+    backends_.add(backend);
   }
   for (const TokenKey& key : document_.keys) {
     keys_[key.id] = &key;
@@ -67,6 +58,36 @@
   }
 }
 
+void ConfigurationView::setServices(std::vector<Zone> zones, std::vector<Service> services) {
+  document_.zones = std::move(zones);
+  document_.services = std::move(services);
+  indexServices();
+}
+
+void ConfigurationView::setRoutes(std::vector<Route> routes) {
+  routes_.clear();
+  routes_.reserve(routes.size());
+  for (Route& route : routes) {
+    const Endpoint address = route.address;
+    routes_.insert_or_assign(address, std::move(route));
+  }
+}
+
+void ConfigurationView::indexServices() {
+  zones_.clear();
+  services_.clear();
+  services_by_address_.clear();
+  for (const Zone& zone : document_.zones) {
+    zones_[zone.id] = &zone;
+  }
+  for (const Service& service : document_.services) {
+    services_[service.id] = &service;
+    if (service.address.isSet()) {
+      services_by_address_[service.address] = &service;
+    }
+  }
+}
+
 const Service* ConfigurationView::serviceAt(Endpoint address) const {
   return findOrNull(services_by_address_, address);
 }
@@ -80,14 +101,6 @@
   return findOrNull(services_, id);
 }
 
-const Backend* ConfigurationView::backend(BackendId id) const {
-  return findOrNull(backends_, id);
-}
-
-const Backend* ConfigurationView::backendAt(Endpoint address) const {
-  return findOrNull(backends_by_address_, address);
-}
-
 const Zone* ConfigurationView::zoneNamed(const std::string& name) const {
   const auto found = std::find_if(document_.zones.begin(), document_.zones.end(),
                                   [&](const Zone& zone) { return zone.name == name; });
@@ -102,9 +115,4 @@
   return findOrNull(keys_, id);
 }
 
-const std::vector<const Backend*>& ConfigurationView::backendsOf(ServiceId service) const {
-  const auto found = backends_by_service_.find(service);
-  return found == backends_by_service_.end() ? no_backends_ : found->second;
-}
-
 }  // namespace lugfork
--- a/src/discovery/backend_registry.cc
+++ b/src/discovery/backend_registry.cc
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "flow/compact_token.h"
 
@@ -34,17 +36,21 @@
 
 void BackendRegistry::onServer(const std::string& key, const ServerRecord& record,
                                Revision revision, Revision created) {
-  Server& server = servers_[key];
+  // A first view tells servers in the order of their keys.
+  const bool comes_last = servers_.empty() || std::prev(servers_.end())->first < key;
+  Server& server = comes_last ? servers_.try_emplace(servers_.end(), key)->second : servers_[key];
   const bool state_changed = server.revision == 0 || server.retired ||
                              server.record.state != record.state ||
                              server.record.address != record.address;
   server.record = record;
-  server.id = backendIdOfIncarnation(record.incarnation);
+  setId(key, server, backendIdOfIncarnation(record.incarnation));
   server.revision = revision;
   server.created = created;
   server.cold_until = time_source_.monotonicTime() + milliseconds(record.warmup_left_ms);
   server.retired = false;
   server.missing_since = 0;
+  missing_.erase(key);
+  touch(server);
   retireMissingAt(record.address);
   if (state_changed && logs_servers_) {
     log_.write(LogLevel::Info, "discovery", "backend_state",
@@ -73,6 +79,7 @@
   }
   Server& server = found->second;
   server.missing_since = revision;
+  missing_.insert(key);
   log_.write(LogLevel::Info, "discovery", "backend_missing",
              {{"backend", server.record.name},
               {"backend_id", server.id.value()},
@@ -81,21 +88,52 @@
 }
 
 bool BackendRegistry::retireMissing() {
-  bool changed = false;
-  for (auto& [key, server] : servers_) {
-    if (server.missing_since != 0) {
-      retire(server, server.missing_since);
-      changed = true;
-    }
+  const std::set<std::string> keys = std::exchange(missing_, {});
+  for (const std::string& key : keys) {
+    Server& server = servers_.at(key);
+    retire(server, server.missing_since);
   }
-  return changed;
+  return !keys.empty();
 }
 
 void BackendRegistry::retireMissingAt(Endpoint address) {
-  for (auto& [key, server] : servers_) {
-    if (server.missing_since != 0 && server.record.address == address) {
+  std::erase_if(missing_, [&](const std::string& key) {
+    Server& server = servers_.at(key);
+    const bool is_replaced = server.record.address == address;
+    if (is_replaced) {
       retire(server, server.missing_since);
     }
+    return is_replaced;
+  });
+}
+
+void BackendRegistry::setId(const std::string& key, Server& server, BackendId id) {
+  const bool is_new = server.revision == 0;
+  if (!is_new && server.id == id) {
+    return;
+  }
+  forgetId(key, server.id);
+  server.id = id;
+  keys_by_id_[id].push_back(&servers_.find(key)->first);
+}
+
+void BackendRegistry::forgetId(const std::string& key, BackendId id) {
+  const auto found = keys_by_id_.find(id);
+  if (found == keys_by_id_.end()) {
+    return;
+  }
+  touched_.insert(id);
+  std::erase_if(found->second, [&](const std::string* other) { return *other == key; });
+  if (found->second.empty()) {
+    keys_by_id_.erase(found);
+  }
+}
+
+void BackendRegistry::touchColdServers() {
+  for (const auto& [key, server] : servers_) {
+    if (server.record.warmup_left_ms > 0) {
+      touch(server);
+    }
   }
 }
 
@@ -103,6 +141,7 @@
   server.retired = true;
   server.retired_at = time_source_.monotonicTime();
   server.missing_since = 0;
+  touch(server);
   log_.write(LogLevel::Info, "discovery", "backend_state",
              {{"backend", server.record.name},
               {"backend_id", server.id.value()},
@@ -113,7 +152,7 @@
               {"revision", revision}});
 }
 
-void BackendRegistry::onRoutes(const RouteTable& table, Revision revision) {
+void BackendRegistry::onRoutes(RouteTable table, Revision revision) {
   if (has_routes_ && table.version < routes_.version) {
     return;
   }
@@ -122,12 +161,17 @@
               {"version_before", routes_.version},
               {"routes", static_cast<std::uint64_t>(table.routes.size())},
               {"revision", revision}});
-  routes_ = table;
+  if (table.warmups != routes_.warmups) {
+    touchColdServers();
+  }
+  routes_ = std::move(table);
   has_routes_ = true;
+  routes_touched_ = true;
 }
 
 void BackendRegistry::onZoneOutOfService(const std::string& key, const ZoneOutOfService& record,
                                          Revision revision) {
+  services_touched_ = true;
   if (zones_out_of_service_.insert_or_assign(key, record.zone).second) {
     log_.write(LogLevel::Info, "discovery", "zone_out_of_service",
                {{"out_of_service", record.zone}, {"revision", revision}});
@@ -139,6 +183,7 @@
   if (found.empty()) {
     return false;
   }
+  services_touched_ = true;
   log_.write(LogLevel::Info, "discovery", "zone_back_in_service",
              {{"back_in_service", found.mapped()}, {"revision", revision}});
   return true;
@@ -181,49 +226,99 @@
 bool BackendRegistry::forgetRetired() {
   const MonotonicTime now = time_source_.monotonicTime();
   const auto is_over = [&](const auto& entry) {
-    return entry.second.retired && now - entry.second.retired_at > retired_for_;
+    const auto& [key, server] = entry;
+    const bool over = server.retired && now - server.retired_at > retired_for_;
+    if (over) {
+      forgetId(key, server.id);
+    }
+    return over;
   };
   return std::erase_if(servers_, is_over) > 0;
 }
 
-ConfigurationViewPtr BackendRegistry::makeConfiguration() {
-  Configuration configuration;
-  configuration.version = ConfigVersion(++builds_);
-  for (const auto& [id, server] : findOwners()) {
-    configuration.backends.push_back(makeBackend(*server));
+ConfigurationChanges BackendRegistry::updateConfiguration() {
+  ConfigurationChanges changes;
+  configuration_->setVersion(ConfigVersion(++counters_.updates));
+  for (const BackendId id : std::exchange(touched_, {})) {
+    updateBackend(id, changes);
+  }
+  // Routes and servers may have brought services and zones that were not known before.
+  changes.routes = std::exchange(routes_touched_, false);
+  if (changes.routes) {
+    updateRoutes();
   }
+  changes.services = std::exchange(services_touched_, false);
+  if (changes.services) {
+    updateServices();
+  }
+  return changes;
+}
+
+void BackendRegistry::updateBackend(BackendId id, ConfigurationChanges& changes) {
+  const Server* owner = ownerOf(id);
+  if (owner != nullptr) {
+    changes.backends.push_back(configuration_->put(makeBackend(*owner)));
+    return;
+  }
+  auto removed = configuration_->take(id);
+  if (removed != nullptr) {
+    changes.removed.push_back(std::move(removed));
+  }
+}
+
+void BackendRegistry::updateRoutes() {
+  std::vector<Route> routes;
+  routes.reserve(routes_.routes.size());
   for (const RouteRecord& record : routes_.routes) {
-    configuration.routes.push_back(makeRoute(record));
+    routes.push_back(makeRoute(record));
+  }
+  configuration_->setRoutes(std::move(routes));
+}
+
+void BackendRegistry::updateServices() {
+  std::vector<Zone> zones;
+  for (const auto& [name, id] : zone_ids_) {
+    zones.push_back({id, name, ""});
   }
   // A service's allowed zones stand above every fallback of placement: one that is out of service
   // gets nothing new even where all other servers are silent or full.
-  std::vector<ZoneId> zones_in_service;
+  const std::vector<ZoneId> in_service = zonesInService();
+  std::vector<Service> services;
+  for (const auto& [name, id] : service_ids_) {
+    services.push_back({id, name, Endpoint(), in_service});
+    ++counters_.services_made;
+  }
+  configuration_->setServices(std::move(zones), std::move(services));
+}
+
+std::vector<ZoneId> BackendRegistry::zonesInService() const {
+  std::vector<ZoneId> zones;
   for (const auto& [name, id] : zone_ids_) {
-    configuration.zones.push_back({id, name, ""});
     if (!isOutOfService(name)) {
-      zones_in_service.push_back(id);
+      zones.push_back(id);
     }
   }
-  for (const auto& [name, id] : service_ids_) {
-    configuration.services.push_back({id, name, Endpoint(), zones_in_service});
-  }
-  return std::make_shared<ConfigurationView>(std::move(configuration));
+  return zones;
 }
 
-BackendRegistry::OwnersById BackendRegistry::findOwners() {
-  OwnersById owners;
-  owners.reserve(servers_.size());
-  for (const auto& [key, server] : servers_) {
-    const auto [entry, is_first] = owners.try_emplace(server.id, &server);
-    if (is_first) {
-      continue;
+const BackendRegistry::Server* BackendRegistry::ownerOf(BackendId id) {
+  const auto keys = keys_by_id_.find(id);
+  if (keys == keys_by_id_.end()) {
+    return nullptr;
+  }
+  const auto is_older = [this](const std::string* left, const std::string* right) {
+    const Revision left_created = servers_.at(*left).created;
+    const Revision right_created = servers_.at(*right).created;
+    return left_created == right_created ? *left < *right : left_created < right_created;
+  };
+  const std::string* oldest = *std::min_element(keys->second.begin(), keys->second.end(), is_older);
+  const Server& owner = servers_.at(*oldest);
+  for (const std::string* key : keys->second) {
+    if (key != oldest) {
+      reportClash(servers_.at(*key), owner);
     }
-    const Server* other = entry->second;
-    const bool is_older = server.created < other->created;
-    entry->second = is_older ? &server : other;
-    reportClash(is_older ? *other : server, *entry->second);
   }
-  return owners;
+  return &owner;
 }
 
 void BackendRegistry::reportClash(const Server& left_out, const Server& owner) {
@@ -236,14 +331,21 @@
 }
 
 ServiceId BackendRegistry::serviceIdOf(const std::string& name) {
-  return internedId(service_ids_, name);
+  const std::size_t known = service_ids_.size();
+  const ServiceId id = internedId(service_ids_, name);
+  services_touched_ = services_touched_ || service_ids_.size() != known;
+  return id;
 }
 
 ZoneId BackendRegistry::zoneIdOf(const std::string& name) {
-  return internedId(zone_ids_, name);
+  const std::size_t known = zone_ids_.size();
+  const ZoneId id = internedId(zone_ids_, name);
+  services_touched_ = services_touched_ || zone_ids_.size() != known;
+  return id;
 }
 
 Backend BackendRegistry::makeBackend(const Server& server) {
+  ++counters_.backends_made;
   const ServerRecord& record = server.record;
   Backend backend;
   backend.id = server.id;
@@ -271,6 +373,7 @@
 }
 
 Route BackendRegistry::makeRoute(const RouteRecord& record) {
+  ++counters_.routes_made;
   Route route;
   route.address = record.address;
   route.bulk = record.bulk;
--- a/src/discovery/backend_registry.h
+++ b/src/discovery/backend_registry.h
@@ -3,18 +3,28 @@
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "common/event_log.h"
 #include "common/time_source.h"
-#include "config/configuration.h"
+#include "config/live_configuration.h"
 #include "discovery/item_source.h"
 #include "discovery/platform_records.h"
 
 namespace lugfork {
 
+/** Work that a BackendRegistry has done on its configuration. */
+struct BackendRegistryCounters {
+  std::uint64_t updates = 0;
+  std::uint64_t backends_made = 0;
+  std::uint64_t routes_made = 0;
+  std::uint64_t services_made = 0;
+};
+
 /**
  * The incarnations of servers: ready, draining, and those that are gone from the platform but may
- * still hold flows. Makes the configuration that the data path decides by.
+ * still hold flows. Keeps the configuration that the data path decides by, and notes what must be
+ * made anew in it: a change costs what has changed, however many servers there are.
  */
 class BackendRegistry {
  public:
@@ -38,7 +48,7 @@
   bool retireMissing();
 
   /** Takes the newest routes; an older version than the one in force is ignored. */
-  void onRoutes(const RouteTable& table, Revision revision);
+  void onRoutes(RouteTable table, Revision revision);
 
   /** Servers of the zone get no new flow until the item with that key is gone. */
   void onZoneOutOfService(const std::string& key, const ZoneOutOfService& record,
@@ -74,8 +84,17 @@
   /** Forgets servers that have been gone for long. @return true if the configuration changes. */
   bool forgetRetired();
 
-  /** @return a configuration of all that is known; counts as a new version each time. */
-  ConfigurationViewPtr makeConfiguration();
+  /**
+   * Brings the configuration up to date with all that is known. It counts as a new version each
+   * time.
+   * @return how it has changed.
+   */
+  ConfigurationChanges updateConfiguration();
+
+  /** @return the configuration as of the last update; the same object at all times. */
+  ConfigurationViewPtr configuration() const { return configuration_; }
+
+  const BackendRegistryCounters& counters() const { return counters_; }
 
  private:
   struct Server {
@@ -91,18 +110,29 @@
     Revision missing_since = 0;
   };
 
-  using OwnersById = std::unordered_map<BackendId, const Server*>;
+  using ServersById = std::unordered_map<BackendId, std::vector<const std::string*>>;
 
   /** Takes missing servers at the address for gone: another server has it now. */
   void retireMissingAt(Endpoint address);
   void retire(Server& server, Revision revision);
 
-  /** @return for each id in tokens the oldest server that has it; the others get no flows. */
-  OwnersById findOwners();
+  /** Notes that the back end with the server's id must be made anew. */
+  void touch(const Server& server) { touched_.insert(server.id); }
+  void touchColdServers();
+  void setId(const std::string& key, Server& server, BackendId id);
+  void forgetId(const std::string& key, BackendId id);
+
+  void updateRoutes();
+  void updateServices();
+  void updateBackend(BackendId id, ConfigurationChanges& changes);
+
+  /** @return of those with an id in tokens the oldest; the others get no flows. */
+  const Server* ownerOf(BackendId id);
   void reportClash(const Server& left_out, const Server& owner);
   ServiceId serviceIdOf(const std::string& name);
   ZoneId zoneIdOf(const std::string& name);
   bool isOutOfService(const std::string& zone) const;
+  std::vector<ZoneId> zonesInService() const;
   Backend makeBackend(const Server& server);
   /** @return new flows a second that a cold server of the service bears; 0 for no limit. */
   double coldFlowsPerSecond(const std::string& service) const;
@@ -112,6 +142,10 @@
   const TimeSource& time_source_;
   EventLog& log_;
   std::map<std::string, Server> servers_;
+  /** Keys of the servers that have an id in tokens; nearly always one. */
+  ServersById keys_by_id_;
+  /** Keys of servers whose record has vanished. */
+  std::set<std::string> missing_;
   /** Names of the zones that are out of service, by the keys of their items. */
   std::map<std::string, std::string> zones_out_of_service_;
   RouteTable routes_;
@@ -119,8 +153,13 @@
   std::map<std::string, ServiceId> service_ids_;
   std::map<std::string, ZoneId> zone_ids_;
   std::set<std::uint64_t> reported_clashes_;
-  std::uint64_t builds_ = 0;
   bool logs_servers_ = true;
+  /** What has changed since the last update. */
+  std::unordered_set<BackendId> touched_;
+  bool routes_touched_ = false;
+  bool services_touched_ = false;
+  std::shared_ptr<LiveConfiguration> configuration_ = std::make_shared<LiveConfiguration>();
+  BackendRegistryCounters counters_;
 };
 
 }  // namespace lugfork
--- a/src/discovery/platform_records.h
+++ b/src/discovery/platform_records.h
@@ -55,6 +55,7 @@
   /** New flows a minute, rounded down; a whole number, since records hold no fractions. */
   std::uint32_t flows_per_minute = 0;
   auto fields() { return std::tie(service, flows_per_minute); }
+  bool operator==(const ServiceWarmup&) const = default;
 };
 
 /** The operator's whole set of routes. */
--- a/src/flow/backend_load_table.cc
+++ b/src/flow/backend_load_table.cc
@@ -43,6 +43,7 @@
 }  // namespace
 
 bool BackendLoadTable::onReport(const BackendReport& report) {
+  is_told_ = true;
   Entry& entry = entries_[report.backend];
   if (entry.has_report && report.measured_at_ms <= entry.report.measured_at_ms) {
     return false;
@@ -82,6 +83,7 @@
 }
 
 void BackendLoadTable::onDrainingSeen(BackendId backend) {
+  is_told_ = true;
   entries_[backend].refused_as_leaving_ms = toUnixMilliseconds(time_source_.systemTime());
 }
 
@@ -133,8 +135,8 @@
 }
 
 bool BackendLoadTable::isLeaving(const Backend& backend) const {
-  if (backend.draining) {
-    return true;
+  if (backend.draining || !is_told_) {
+    return backend.draining;
   }
   const Entry* entry = find(backend.id);
   if (entry == nullptr) {
@@ -152,6 +154,9 @@
 }
 
 bool BackendLoadTable::looksReachable(const Backend& backend) const {
+  if (!is_told_) {
+    return true;
+  }
   const Entry* entry = find(backend.id);
   return entry == nullptr || !stateIsCurrent(*entry) || entry->report.reachable;
 }
--- a/src/flow/backend_load_table.h
+++ b/src/flow/backend_load_table.h
@@ -95,6 +95,9 @@
   /** @return estimated time for which a request of the service stays at its back end. */
   Duration residence(ServiceId service) const;
 
+  /** @return true once a report or a back end's own word that it leaves has come. */
+  bool isTold() const { return is_told_; }
+
   /** @return the last report, or nullptr. */
   const BackendReport* lastReport(BackendId backend) const;
 
@@ -156,6 +159,8 @@
   std::unordered_map<BackendId, Entry> entries_;
   std::unordered_map<ServiceId, ServiceLoad> services_;
   std::uint32_t live_balancers_ = 1;
+  /** Until then all back ends are alike, and none needs to be looked up. */
+  bool is_told_ = false;
 };
 
 }  // namespace lugfork
--- a/src/flow/flow_decider.h
+++ b/src/flow/flow_decider.h
@@ -104,6 +104,11 @@
               PlacementEngine& placement, FlowRouterHost& host);
 
   void setConfiguration(ConfigurationViewPtr configuration);
+
+  /** The configuration in force has changed in place. */
+  void onConfigurationChanged(const ConfigurationChanges& changes) {
+    placement_.onConfigurationChanged(changes);
+  }
   const ConfigurationView* configuration() const { return configuration_.get(); }
 
   /** Sets the codec of compact tokens; without one all of them name nobody. */
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -46,6 +46,21 @@
   const double local_weight_;
 };
 
+/**
+ * Changes from which lists are made anew: to look for one back end in a list costs as much as a
+ * fiftieth of that (control_work_bench, 3,000 servers).
+ */
+constexpr std::size_t kChangesToRemake = 50;
+
+/** Takes an element out; the last one gets its place. */
+void eraseUnordered(std::vector<const Backend*>& backends, const Backend* backend) {
+  const auto found = std::find(backends.begin(), backends.end(), backend);
+  if (found != backends.end()) {
+    *found = backends.back();
+    backends.pop_back();
+  }
+}
+
 }  // namespace
 
 PlacementEngine::PlacementEngine(PlacementSettings settings, PlacementPolicyPtr policy,
@@ -65,6 +80,43 @@
   local_zone_ = local_zone == nullptr ? std::nullopt : std::optional<ZoneId>(local_zone->id);
 }
 
+void PlacementEngine::onConfigurationChanged(const ConfigurationChanges& changes) {
+  if (changes.services) {
+    setConfiguration(configuration_);
+    return;
+  }
+  if (changes.backends.size() + changes.removed.size() > kChangesToRemake) {
+    invalidateCandidates();
+    return;
+  }
+  for (const auto& backend : changes.removed) {
+    takeOut(backend.get());
+  }
+  for (const Backend* backend : changes.backends) {
+    takeOut(backend);
+    takeIn(backend);
+  }
+}
+
+void PlacementEngine::takeOut(const Backend* backend) {
+  for (auto& [service, list] : candidates_) {
+    eraseUnordered(list.eligible, backend);
+    eraseUnordered(list.backends, backend);
+  }
+}
+
+void PlacementEngine::takeIn(const Backend* backend) {
+  const auto found = candidates_.find(backend->service);
+  const Service* service = configuration_->service(backend->service);
+  if (found == candidates_.end() || service == nullptr || backend->retired ||
+      !isEligible(*service, *backend)) {
+    return;
+  }
+  ++candidates_made_;
+  found->second.eligible.push_back(backend);
+  found->second.backends.push_back(backend);
+}
+
 Result<const Backend*, PlacementRefusal> PlacementEngine::place(const Service& service,
                                                                 const FlowId& flow,
                                                                 FlowVolume volume,
@@ -97,7 +149,7 @@
   if (service == nullptr || !(contradicts_report || lost_state)) {
     return;
   }
-  outliers_.onFailure(backend, attempt, candidatesOf(*service).size_when_made);
+  outliers_.onFailure(backend, attempt, candidatesOf(*service).eligible.size());
 }
 
 const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow, FlowVolume volume) {
@@ -127,7 +179,7 @@
 }
 
 PlacementRefusal PlacementEngine::refusalFor(const Service& service, const CandidateList& list) {
-  if (list.size_when_made == 0) {
+  if (list.eligible.empty()) {
     return {Reason::NoBackendInAllowedZones, settings_.retry_after};
   }
   // By then about half of the present requests have ended; spread, so that callers don't bunch.
@@ -159,19 +211,23 @@
   std::size_t reachable = 0;
   std::size_t suspects = 0;
   for (const Backend* backend : configuration_->backendsOf(service.id)) {
-    if (!service.allowsZone(backend->zone) || loads_.isLeaving(*backend)) {
+    ++candidates_made_;
+    if (!isEligible(service, *backend)) {
       continue;
     }
     reachable += loads_.looksReachable(*backend) ? 1 : 0;
     suspects += isSuspect(*backend) ? 1 : 0;
     list.backends.push_back(backend);
   }
-  loads_.refreshService(service.id, list.backends);
+  // Requests in flight take the place of an estimate that no report has begun.
+  if (in_flight_ == nullptr || loads_.isTold()) {
+    loads_.refreshService(service.id, list.backends);
+  }
   list.ignore_reachability = static_cast<double>(reachable) <
                              settings_.panic_threshold * static_cast<double>(list.backends.size());
   list.ignore_suspicion = static_cast<double>(suspects) >
                           settings_.panic_threshold * static_cast<double>(list.backends.size());
-  list.size_when_made = list.backends.size();
+  list.eligible = list.backends;
 }
 
 }  // namespace lugfork
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "common/result.h"
+#include "config/live_configuration.h"
 #include "flow/backend_load_table.h"
 #include "flow/cold_server_limit.h"
 #include "flow/outlier_detector.h"
@@ -68,6 +69,9 @@
 
   void setConfiguration(ConfigurationViewPtr configuration);
 
+  /** The configuration in force has changed in place: lists of candidates take over the changes. */
+  void onConfigurationChanged(const ConfigurationChanges& changes);
+
   /** Makes the next placement look at every back end's state again. */
   void invalidateCandidates() { candidates_.clear(); }
 
@@ -105,13 +109,16 @@
 
   bool isEjected(BackendId backend) const { return outliers_.isEjected(backend); }
 
+  /** @return the back ends that were looked at to make lists of candidates, for all time. */
+  std::uint64_t candidatesMade() const { return candidates_made_; }
+
  private:
   /** Back ends that may be chosen; those found not to fit are taken out until it is made again. */
   struct CandidateList {
     std::vector<const Backend*> backends;
     MonotonicTime made_at;
     /** Back ends in allowed zones that are not leaving, whether they fit or not. */
-    std::size_t size_when_made = 0;
+    std::vector<const Backend*> eligible;
     /** Most back ends look unreachable, so the view is suspect: reachability is not looked at. */
     bool ignore_reachability = false;
     /** The same for back ends that do not seem to answer. */
@@ -121,6 +128,11 @@
   CandidateList& candidatesOf(const Service& service);
   void makeCandidates(const Service& service, CandidateList& list);
   bool isStale(const CandidateList& list) const;
+  bool isEligible(const Service& service, const Backend& backend) const {
+    return service.allowsZone(backend.zone) && !loads_.isLeaving(backend);
+  }
+  void takeOut(const Backend* backend);
+  void takeIn(const Backend* backend);
   bool isSuspect(const Backend& backend) const {
     return suspicion_ != nullptr && suspicion_->isSuspect(backend.id);
   }
@@ -144,6 +156,7 @@
   const RequestsInFlight* in_flight_ = nullptr;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
+  std::uint64_t candidates_made_ = 0;
   /** Id of the local zone in the configuration in force. */
   std::optional<ZoneId> local_zone_;
 };
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -75,6 +75,7 @@
       [this](const std::string& prefix) { return node_.follower().view().keysUnder(prefix); });
   connectPeers();
   store_.setTimeCallback([this](Duration duration) { metrics_.onStoreRead(duration); });
+  node_.setProcessorClock(processor_clock_);
   node_.setResponseCallback([this](Duration duration) { metrics_.onResponse(duration); });
   node_.setHandshakeCallback([this](Duration duration) { metrics_.onHandshake(duration); });
   node_.setCompletionCallback([this] {
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -116,6 +116,7 @@
   std::unique_ptr<PeerExchange> peer_exchange_;
   std::unique_ptr<ViewProvider> provider_;
   UpstreamSource source_;
+  ThreadProcessorClock processor_clock_;
   PacketNode node_;
   UdpEndpoint socket_;
   boost::asio::signal_set signals_;
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -112,6 +112,24 @@
              "Views of other balancers that could not be read.", client.malformedBodies());
 }
 
+void addControlWork(prometheus::Registry& registry, const ControlWorkMeter& meter) {
+  for (std::size_t index = 0; index < kControlWorkCount; ++index) {
+    const auto work = static_cast<ControlWork>(index);
+    const ControlWorkCost& cost = meter.cost(work);
+    const prometheus::Labels labels = {{"kind", toString(work)}};
+    addCounter(registry, "lugfork_control_work_slices_total",
+               "Slices of control work, in which packets wait.", cost.slices, labels);
+    addCounter(registry, "lugfork_control_work_units_total",
+               "Items read, or back ends and routes brought up to date.", cost.units, labels);
+    addCounter(registry, "lugfork_control_work_processor_microseconds_total",
+               "Processor time of control work.",
+               static_cast<std::uint64_t>(cost.processor.count()), labels);
+    addGauge(registry, "lugfork_control_work_longest_seconds",
+             "Processor time of the longest slice.",
+             std::chrono::duration<double>(cost.longest).count(), labels);
+  }
+}
+
 }  // namespace
 
 PacketMetrics::PacketMetrics()
@@ -139,6 +157,7 @@
   if (figures.peer_socket != nullptr && figures.view_client != nullptr) {
     addPeerSocket(registry, *figures.peer_socket, *figures.view_client);
   }
+  addControlWork(registry, node.controlWork());
   addCounter(registry, "lugfork_platform_records_invalid_total", "Items that can't be read.",
              node.counters().records_invalid);
   addCounter(registry, "lugfork_log_lines_left_out_total", "Log lines left out by the limit.",
--- /dev/null
+++ b/tests/balancer/control_work_meter_test.cc
@@ -0,0 +1,55 @@
+#include "balancer/control_work_meter.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace lugfork {
+namespace {
+
+struct ManualProcessorClock : ProcessorClock {
+  Duration used() const override { return used_so_far; }
+  Duration used_so_far{};
+};
+
+struct RecordingLog : EventLog {
+  void write(LogLevel, std::string_view, std::string_view event,
+             std::initializer_list<LogField>) override {
+    events.emplace_back(event);
+  }
+  std::vector<std::string> events;
+};
+
+TEST_CASE("slices are counted by kind, and only a long one is logged", "[control_work]") {
+  ManualProcessorClock clock;
+  RecordingLog log;
+  ControlWorkMeter meter(log);
+  meter.setClock(clock);
+  const auto work = [&](ControlWork kind, Duration duration, std::uint64_t units) {
+    meter.measure(kind, [&] {
+      clock.used_so_far += duration;
+      return units;
+    });
+  };
+  work(ControlWork::Items, milliseconds(1), 3);
+  work(ControlWork::Items, milliseconds(4), 5);
+  CHECK(log.events.empty());
+  work(ControlWork::Configuration, milliseconds(5), 3000);
+  CHECK(log.events == std::vector<std::string>{"control_work_long"});
+  CHECK(meter.cost(ControlWork::Items).slices == 2);
+  CHECK(meter.cost(ControlWork::Items).units == 8);
+  CHECK(meter.cost(ControlWork::Items).processor == milliseconds(5));
+  CHECK(meter.cost(ControlWork::Items).longest == milliseconds(4));
+  CHECK(meter.cost(ControlWork::Configuration).slices == 1);
+}
+
+TEST_CASE("without a clock slices are counted all the same", "[control_work]") {
+  RecordingLog log;
+  ControlWorkMeter meter(log);
+  meter.measure(ControlWork::Items, [] { return std::uint64_t{7}; });
+  CHECK(meter.cost(ControlWork::Items).units == 7);
+  CHECK(meter.cost(ControlWork::Items).processor == Duration::zero());
+}
+
+}  // namespace
+}  // namespace lugfork
--- /dev/null
+++ b/tests/balancer/control_work_test.cc
@@ -0,0 +1,117 @@
+#include <catch2/catch.hpp>
+
+#include "balancer/packet_node.h"
+#include "discovery/discovery_fixture.h"
+#include "wire/record_codec.h"
+
+/** How much work changes make of a node that knows 3,000 servers: counted, not timed. */
+namespace lugfork {
+namespace {
+
+const std::string kPrefix = "platform/";
+constexpr std::uint32_t kServers = 3000;
+constexpr std::uint32_t kRoutes = 1700;
+
+Item serverItem(std::uint32_t number, Revision revision, ServerState state = ServerState::Ready) {
+  ServerRecord record;
+  record.incarnation = number + 1;
+  record.service = number % 5 == 0 ? "ingest" : "listen";
+  record.zone = number % 2 == 0 ? "lac" : "ariana";
+  record.address = addressOf(number);
+  record.slots = 2;
+  record.state = state;
+  return {kPrefix + "servers/" + std::to_string(100000 + number),
+          encodeRecord(PlatformRecord(record)), revision, revision};
+}
+
+Item routesItem(Revision revision) {
+  RouteTable table;
+  table.version = revision;
+  table.routes.push_back({kListen, {{"listen", 1}}});
+  for (std::uint32_t number = 1; number < kRoutes; ++number) {
+    table.routes.push_back({Endpoint{0x0a150000 + number, 443}, {{"listen", 1}, {"ingest", 1}}});
+  }
+  return {kPrefix + "routes", encodeRecord(PlatformRecord(table)), revision, 1};
+}
+
+struct LargeNode : PacketSender {
+  LargeNode() {
+    node.start();
+    ItemPage page{{routesItem(1)}, false, 10};
+    for (std::uint32_t number = 0; number < kServers; ++number) {
+      page.items.push_back(serverItem(number, 2));
+    }
+    source.answerPage(kPrefix, std::move(page));
+    source.answerWatch(kPrefix, ItemChanges{{}, 10});
+    settle();
+  }
+
+  void settle() { scheduler.advance(milliseconds(10)); }
+
+  void change(std::vector<ItemChange> changes) {
+    source.answerWatch(kPrefix, ItemChanges{std::move(changes), ++revision});
+    settle();
+  }
+
+  /** @return the back end that gets the flow; empty for none. */
+  std::string open(std::uint16_t port) {
+    forwarded.clear();
+    FlowPacket packet;
+    packet.caller = {kCaller.address, port};
+    packet.service = kListen;
+    packet.opens = true;
+    node.onPacket(packet);
+    return forwarded;
+  }
+
+  void forwardPacket(const Backend& backend, CompactToken) override { forwarded = backend.name; }
+  void resetCaller(const FlowPacket&) override {}
+
+  ManualTimeSource time;
+  ManualScheduler scheduler{time};
+  ManualSource source;
+  NullEventLog log;
+  CompactRecordDecoder decoder;
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
+  PacketNode node{PacketNodeSettings(),
+                  {kPrefix, "", "", decoder},
+                  source,
+                  *this,
+                  scheduler,
+                  time,
+                  *random,
+                  log};
+  Revision revision = 10;
+  std::string forwarded;
+};
+
+TEST_CASE("one server's change makes one back end and no route, however many there are",
+          "[control_work]") {
+  LargeNode large;
+  large.open(1);
+  const BackendRegistryCounters before = large.node.registryCounters();
+  const std::uint64_t candidates_before = large.node.candidatesMade();
+  large.change({{serverItem(77, 11, ServerState::Draining), false}});
+  large.open(2);
+  CHECK(large.node.registryCounters().backends_made == before.backends_made + 1);
+  CHECK(large.node.registryCounters().routes_made == before.routes_made);
+  CHECK(large.node.registryCounters().services_made == before.services_made);
+  CHECK(large.node.candidatesMade() <= candidates_before + 1);
+}
+
+TEST_CASE("new routes make no back end", "[control_work]") {
+  LargeNode large;
+  const BackendRegistryCounters before = large.node.registryCounters();
+  large.change({{routesItem(11), false}});
+  CHECK(large.node.registryCounters().routes_made == before.routes_made + kRoutes);
+  CHECK(large.node.registryCounters().backends_made == before.backends_made);
+}
+
+TEST_CASE("a first view makes each back end once", "[control_work]") {
+  const LargeNode large;
+  CHECK(large.node.registryCounters().backends_made == kServers);
+  CHECK(large.node.registryCounters().routes_made == kRoutes);
+}
+
+}  // namespace
+}  // namespace lugfork
--- a/tests/discovery/backend_registry_test.cc
+++ b/tests/discovery/backend_registry_test.cc
@@ -28,6 +28,11 @@
   NullEventLog log;
   BackendRegistry registry{kRetiredFor, time, log};
 
+  ConfigurationViewPtr upToDate() {
+    registry.updateConfiguration();
+    return registry.configuration();
+  }
+
   const Backend* find(const ConfigurationViewPtr& view, std::uint64_t incarnation) const {
     return view->backend(backendIdOfIncarnation(incarnation));
   }
@@ -36,7 +41,7 @@
 TEST_CASE("a route gives flows to its services by weight", "[backend_registry]") {
   RegistryHarness harness;
   harness.registry.onRoutes({7, {{kListen, {{"listen", 90}, {"ingest", 10}}}}}, 1);
-  const auto view = harness.registry.makeConfiguration();
+  const auto view = harness.upToDate();
   const Route* route = view->routeAt(kListen);
   REQUIRE(route != nullptr);
   CHECK(view->routeAt(kIngest) == nullptr);
@@ -59,7 +64,7 @@
   harness.registry.onServer("a", server(1, "listen", addressOf(1)), 1, 1);
   harness.registry.onServer("b", in_ariana, 2, 2);
   const auto allowed = [&](std::uint64_t incarnation) {
-    const auto view = harness.registry.makeConfiguration();
+    const auto view = harness.upToDate();
     const Backend* backend = harness.find(view, incarnation);
     return view->service(backend->service)->allowsZone(backend->zone);
   };
@@ -85,7 +90,7 @@
   harness.registry.onServer("a", cold, 2, 2);
   harness.registry.onServer("b", server(2, "listen", addressOf(2)), 3, 3);
   harness.registry.onServer("c", other, 4, 4);
-  const auto view = harness.registry.makeConfiguration();
+  const auto view = harness.upToDate();
   CHECK(harness.find(view, 1)->cold_flows_per_second == 12.5);
   CHECK(harness.find(view, 1)->cold_until == harness.time.monotonicTime() + milliseconds(1500));
   CHECK(harness.find(view, 2)->cold_flows_per_second == 0);
@@ -97,7 +102,7 @@
   harness.registry.onRoutes({7, {{kListen, {{"listen", 1}}}}}, 10);
   harness.registry.onRoutes({6, {{kIngest, {{"listen", 1}}}}}, 11);
   CHECK(harness.registry.routesVersion() == 7);
-  CHECK(harness.registry.makeConfiguration()->routeAt(kListen) != nullptr);
+  CHECK(harness.upToDate()->routeAt(kListen) != nullptr);
 }
 
 TEST_CASE("a missing server goes on until it is written again, retired or its address taken",
@@ -105,9 +110,7 @@
   RegistryHarness harness;
   harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 3, 3);
   harness.registry.onServerMissing("backends/a", 9);
-  const auto is_retired = [&] {
-    return harness.find(harness.registry.makeConfiguration(), 0xa)->retired;
-  };
+  const auto is_retired = [&] { return harness.find(harness.upToDate(), 0xa)->retired; };
   CHECK_FALSE(is_retired());
   SECTION("written again") {
     harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 10, 10);
@@ -128,7 +131,7 @@
   RegistryHarness harness;
   harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 3, 3);
   harness.registry.onServerGone("backends/a", 9);
-  auto view = harness.registry.makeConfiguration();
+  auto view = harness.upToDate();
   const Backend* backend = harness.find(view, 0xa);
   REQUIRE(backend != nullptr);
   CHECK(backend->retired);
@@ -137,7 +140,7 @@
 
   harness.time.elapsed += kRetiredFor + seconds(1);
   CHECK(harness.registry.forgetRetired());
-  view = harness.registry.makeConfiguration();
+  view = harness.upToDate();
   CHECK(harness.find(view, 0xa) == nullptr);
 }
 
@@ -146,7 +149,7 @@
   harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 3, 3);
   harness.registry.onServerGone("backends/a", 9);
   harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 12, 12);
-  const auto view = harness.registry.makeConfiguration();
+  const auto view = harness.upToDate();
   CHECK_FALSE(harness.find(view, 0xa)->retired);
 }
 
@@ -155,7 +158,7 @@
   harness.registry.onServer("backends/a", server(0xa, "listen", addressOf(1)), 3, 3);
   harness.registry.onServer("backends/a",
                             server(0xa, "listen", addressOf(1), ServerState::Draining), 5, 3);
-  CHECK(harness.find(harness.registry.makeConfiguration(), 0xa)->draining);
+  CHECK(harness.find(harness.upToDate(), 0xa)->draining);
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/flow/placement_changes_test.cc
@@ -0,0 +1,118 @@
+#include <catch2/catch.hpp>
+
+#include "config/live_configuration.h"
+#include "flow/placement_engine.h"
+#include "flow/router_harness.h"
+
+namespace lugfork {
+namespace {
+
+constexpr std::uint32_t kBackEnds = 40;
+
+/** A configuration that changes in place, and engines that place by it. */
+struct ChangingHarness {
+  ChangingHarness() {
+    setZones({kLac, kAriana});
+    for (std::uint32_t id = 1; id <= kBackEnds; ++id) {
+      configuration->put(makeBackend(id, ServiceId(1), kLac));
+    }
+    engine.setRequestsInFlight(&in_flight);
+    engine.setConfiguration(configuration);
+  }
+
+  void setZones(std::vector<ZoneId> allowed) {
+    configuration->setServices({{kLac, "lac", ""}, {kAriana, "ariana", ""}},
+                               {{ServiceId(1), "listen", Endpoint(), allowed},
+                                {ServiceId(2), "ingest", Endpoint(), allowed}});
+  }
+
+  ConfigurationChanges anyChange() {
+    ConfigurationChanges changes;
+    const auto id = static_cast<std::uint32_t>(1 + random->below(kBackEnds + 5));
+    if (random->below(5) == 0) {
+      auto removed = configuration->take(BackendId(id));
+      if (removed != nullptr) {
+        changes.removed.push_back(std::move(removed));
+      }
+      return changes;
+    }
+    if (random->below(20) == 0) {
+      setZones(random->below(2) == 0 ? std::vector<ZoneId>{kLac, kAriana} : std::vector{kLac});
+      changes.services = true;
+      return changes;
+    }
+    Backend backend = makeBackend(id, ServiceId(random->below(4) == 0 ? 2 : 1),
+                                  random->below(2) == 0 ? kLac : kAriana);
+    backend.draining = random->below(4) == 0;
+    backend.retired = random->below(6) == 0;
+    changes.backends.push_back(configuration->put(backend));
+    return changes;
+  }
+
+  /** @return the id of the back end that an engine chooses; 0 for none. */
+  std::uint32_t place(PlacementEngine& placing, ServiceId service, std::uint64_t flow) const {
+    const auto placed = placing.place(*configuration->service(service), FlowId{1, flow});
+    return placed ? placed.value()->id.value() : 0;
+  }
+
+  ManualTimeSource time;
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(3);
+  BackendLoadTable loads{LoadEstimateSettings(), time};
+  RequestsInFlight in_flight{time};
+  std::shared_ptr<LiveConfiguration> configuration = std::make_shared<LiveConfiguration>();
+  PlacementEngine engine{PlacementSettings(), makePlacementPolicy("bounded_rendezvous"), loads,
+                         time, *random};
+};
+
+TEST_CASE("an engine that takes over changes places like one that has just begun", "[placement]") {
+  ChangingHarness harness;
+  std::uint64_t flow = 0;
+  for (int step = 0; step < 2000; ++step) {
+    harness.engine.onConfigurationChanged(harness.anyChange());
+    PlacementEngine fresh{PlacementSettings(), makePlacementPolicy("bounded_rendezvous"),
+                          harness.loads, harness.time, *harness.random};
+    fresh.setRequestsInFlight(&harness.in_flight);
+    fresh.setConfiguration(harness.configuration);
+    ++flow;
+    for (const ServiceId service : {ServiceId(1), ServiceId(2)}) {
+      REQUIRE(harness.place(harness.engine, service, flow) == harness.place(fresh, service, flow));
+    }
+  }
+}
+
+TEST_CASE("a service whose last server drains or goes has no candidate at once", "[placement]") {
+  ChangingHarness harness;
+  harness.configuration->put(makeBackend(100, ServiceId(2), kLac));
+  harness.engine.invalidateCandidates();
+  REQUIRE(harness.place(harness.engine, ServiceId(2), 1) == 100);
+  ConfigurationChanges changes;
+  SECTION("drains") {
+    Backend draining = makeBackend(100, ServiceId(2), kLac);
+    draining.draining = true;
+    changes.backends.push_back(harness.configuration->put(draining));
+  }
+  SECTION("goes") {
+    changes.removed.push_back(harness.configuration->take(BackendId(100)));
+  }
+  harness.engine.onConfigurationChanged(changes);
+  const auto refused =
+      harness.engine.place(*harness.configuration->service(ServiceId(2)), FlowId{1, 2});
+  REQUIRE_FALSE(refused);
+  CHECK(refused.error().reason == Reason::NoBackendInAllowedZones);
+}
+
+TEST_CASE("many changes at once make lists anew", "[placement]") {
+  ChangingHarness harness;
+  REQUIRE(harness.place(harness.engine, ServiceId(1), 1) != 0);
+  ConfigurationChanges changes;
+  for (std::uint32_t id = 1; id < 1000; ++id) {
+    Backend draining = makeBackend(id, ServiceId(1), kLac);
+    draining.draining = id != 900;
+    changes.backends.push_back(harness.configuration->put(draining));
+  }
+  harness.engine.onConfigurationChanged(changes);
+  CHECK(harness.place(harness.engine, ServiceId(1), 2) == 900);
+}
+
+}  // namespace
+}  // namespace lugfork
