--- a/src/discovery/first_view_reader.cc
+++ b/src/discovery/first_view_reader.cc
@@ -49,18 +49,18 @@
   const Endpoint peer = read->candidates.front();
   read->candidates.pop_front();
   peers_.readView(peer, 0, settings_.patience,
-                  [this, read, peer](const Result<PeerView, PeerRefusal>& answer) {
-                    onAnswer(read, peer, answer);
+                  [this, read, peer](Result<PeerView, PeerRefusal> answer) {
+                    onAnswer(read, peer, std::move(answer));
                   });
 }
 
 void FirstViewReader::onAnswer(const ReadPtr& read, Endpoint peer,
-                               const Result<PeerView, PeerRefusal>& answer) {
+                               Result<PeerView, PeerRefusal> answer) {
   if (answer) {
     directory_.onAlive(peer);
     directory_.onTold(answer.value().peers);
     if (milliseconds(answer.value().status.age_ms) <= settings_.max_age) {
-      read->callback(answer.value());
+      read->callback(std::move(answer.value()));
       return;
     }
     read->was_refused = true;
--- a/src/discovery/first_view_reader.h
+++ b/src/discovery/first_view_reader.h
@@ -55,7 +55,7 @@
   using ReadPtr = std::shared_ptr<Read>;
 
   void askNext(const ReadPtr& read);
-  void onAnswer(const ReadPtr& read, Endpoint peer, const Result<PeerView, PeerRefusal>& answer);
+  void onAnswer(const ReadPtr& read, Endpoint peer, Result<PeerView, PeerRefusal> answer);
   void refill(const ReadPtr& read);
   bool isTimeForStore(const Read& read) const;
 
--- a/src/discovery/peer_directory.cc
+++ b/src/discovery/peer_directory.cc
@@ -2,34 +2,24 @@
 
 #include <xxhash.h>
 
-#include <algorithm>
-#include <limits>
+#include <iterator>
 
 namespace lugfork {
 
-namespace {
-
-bool hasLowerRank(Endpoint left, Endpoint right) {
-  return peerRank(left) < peerRank(right);
-}
-
-}  // namespace
-
-PeerRank peerRank(Endpoint peer) {
-  const std::uint64_t content = (std::uint64_t{peer.address} << 16) | peer.port;
-  return XXH3_64bits(&content, sizeof(content));
-}
-
 PeerDirectory::PeerDirectory(PeerDirectorySettings settings, KnownPeer self,
                              std::vector<Endpoint> seeds, const TimeSource& time_source,
                              RandomGenerator& random)
     : settings_(settings),
       self_(self),
+      own_rank_(peerRank(self.address)),
       seeds_(std::move(seeds)),
       is_seed_(std::find(seeds_.begin(), seeds_.end(), self_.address) != seeds_.end()),
       time_source_(time_source),
       random_(random) {
   std::erase(seeds_, self_.address);
+  for (const Endpoint& seed : seeds_) {
+    ranked_seeds_.insert(RankedPeer(KnownPeer(seed)));
+  }
 }
 
 void PeerDirectory::onAlive(Endpoint peer) {
@@ -44,10 +34,10 @@
 
 void PeerDirectory::onTold(const std::vector<KnownPeer>& peers) {
   for (const KnownPeer& peer : peers) {
-    const auto known = heard_.find(peer.address);
-    if (known != heard_.end()) {
+    ++peers_visited_;
+    if (heard_.contains(peer.address)) {
       // What others tell never refreshes what is known: a dead peer would be told for ever.
-      known->second.link = std::max(known->second.link, peer.link);
+      heard_.setLink(peer.address, std::max(heard_.linkOf(peer.address), peer.link));
     } else if (!isQuarantined(peer.address)) {
       add(peer);
     }
@@ -57,63 +47,79 @@
 void PeerDirectory::onFailed(Endpoint peer) {
   heard_.erase(peer);
   quarantined_until_[peer] = time_source_.monotonicTime() + settings_.quarantine;
+  forgetFrom(quarantined_until_[peer]);
 }
 
 void PeerDirectory::onUnavailable(Endpoint peer) {
   unavailable_until_[peer] = time_source_.monotonicTime() + settings_.short_quarantine;
+  forgetFrom(unavailable_until_[peer]);
 }
 
 void PeerDirectory::onShowsView(Endpoint peer) {
-  view_shown_at_[peer] = time_source_.monotonicTime();
+  const MonotonicTime now = time_source_.monotonicTime();
+  const auto [entry, is_new] = view_shown_at_.try_emplace(peer, now);
+  if (!is_new) {
+    shown_views_.erase({entry->second, peer});
+    entry->second = now;
+  }
+  shown_views_.insert({now, peer});
+  forgetFrom(now + settings_.view_shown_for);
 }
 
 std::vector<Endpoint> PeerDirectory::withView(std::size_t limit) {
   forgetOld();
   std::vector<Endpoint> peers;
-  for (const auto& [peer, shown_at] : view_shown_at_) {
-    if (!isQuarantined(peer) && !isUnavailable(peer)) {
-      peers.push_back(peer);
+  for (const ShownView& shown : shown_views_) {
+    if (peers.size() == limit) {
+      break;
+    }
+    ++peers_visited_;
+    if (!isQuarantined(shown.peer) && !isUnavailable(shown.peer)) {
+      peers.push_back(shown.peer);
     }
   }
-  std::sort(peers.begin(), peers.end(), [this](Endpoint left, Endpoint right) {
-    return view_shown_at_[left] > view_shown_at_[right];
-  });
-  peers.resize(std::min(peers.size(), limit));
   return peers;
 }
 
 std::optional<Endpoint> PeerDirectory::pick() {
-  std::vector<Endpoint> choices = recent();
-  if (choices.empty()) {
-    choices = seeds_;
+  forgetOld();
+  if (heard_.size() > 0) {
+    const auto place = static_cast<std::ptrdiff_t>(random_.below(heard_.size()));
+    return std::next(heard_.byAddress().begin(), place)->first;
   }
-  if (choices.empty()) {
+  if (seeds_.empty()) {
     return std::nullopt;
   }
-  return choices[random_.below(choices.size())];
+  return seeds_[random_.below(seeds_.size())];
 }
 
 std::vector<Endpoint> PeerDirectory::recent() {
   forgetOld();
   std::vector<Endpoint> peers;
-  for (const auto& [peer, heard] : heard_) {
+  for (const auto& [peer, heard] : heard_.byAddress()) {
     peers.push_back(peer);
   }
   return peers;
 }
 
+bool PeerDirectory::knowsPeers() {
+  forgetOld();
+  return heard_.size() > 0;
+}
+
 std::vector<KnownPeer> PeerDirectory::toTell(std::size_t limit) {
-  std::vector<Endpoint> peers = recent();
-  std::sort(peers.begin(), peers.end(),
-            [this](Endpoint left, Endpoint right) { return isBetterUpstream(left, right); });
+  forgetOld();
   std::vector<KnownPeer> told;
+  told.reserve(std::min(limit, heard_.size() + 1));
   if (self_.address.isSet()) {
     told.push_back(self_);
   }
-  for (const Endpoint& peer : peers) {
-    if (told.size() < limit) {
-      told.push_back({peer, linkOf(peer)});
+  for (const RankedPeer& peer : heard_.byQuality()) {
+    if (told.size() >= limit) {
+      break;
     }
+    ++peers_visited_;
+    told.push_back({peer.address, peer.link});
   }
   return told;
 }
@@ -126,67 +132,96 @@
   return seeds;
 }
 
-std::vector<Endpoint> PeerDirectory::ranked() {
-  std::vector<Endpoint> peers = recent();
-  for (const Endpoint& seed : seeds_) {
-    if (!heard_.contains(seed)) {
-      peers.push_back(seed);
+std::vector<Endpoint> PeerDirectory::ranked(std::size_t limit) {
+  forgetOld();
+  std::vector<Endpoint> peers;
+  const auto take = [&](const RankedPeer& peer) {
+    ++peers_visited_;
+    if (!isQuarantined(peer.address) && !isUnavailable(peer.address)) {
+      peers.push_back(peer.address);
     }
+  };
+  auto seed = ranked_seeds_.begin();
+  const auto take_seeds_before = [&](const RankedPeer* peer) {
+    for (; seed != ranked_seeds_.end() && peers.size() < limit; ++seed) {
+      if (peer != nullptr && BetterUpstream()(*peer, *seed)) {
+        return;
+      }
+      if (!heard_.contains(seed->address)) {
+        take(*seed);
+      }
+    }
+  };
+  for (const RankedPeer& peer : heard_.byQuality()) {
+    take_seeds_before(&peer);
+    if (peers.size() >= limit) {
+      return peers;
+    }
+    take(peer);
   }
-  std::erase_if(peers,
-                [this](Endpoint peer) { return isQuarantined(peer) || isUnavailable(peer); });
-  std::sort(peers.begin(), peers.end(),
-            [this](Endpoint left, Endpoint right) { return isBetterUpstream(left, right); });
+  take_seeds_before(nullptr);
   return peers;
 }
 
 bool PeerDirectory::isBetterUpstream(Endpoint left, Endpoint right) const {
-  const LinkClass left_link = linkOf(left);
-  const LinkClass right_link = linkOf(right);
-  return left_link == right_link ? hasLowerRank(left, right) : left_link > right_link;
+  return BetterUpstream()(RankedPeer({left, linkOf(left)}), RankedPeer({right, linkOf(right)}));
 }
 
 LinkClass PeerDirectory::linkOf(Endpoint peer) const {
-  if (peer == self_.address) {
-    return self_.link;
-  }
-  const auto found = heard_.find(peer);
-  return found == heard_.end() ? LinkClass{0} : found->second.link;
+  return peer == self_.address ? self_.link : heard_.linkOf(peer);
 }
 
 bool PeerDirectory::isOwner(std::uint64_t key, std::size_t owners) {
-  const auto weight = [key](Endpoint peer) {
-    const std::uint64_t content[] = {key, peerRank(peer)};
+  const auto weight = [key](PeerRank rank) {
+    const std::uint64_t content[] = {key, rank};
     return XXH3_64bits(content, sizeof(content));
   };
-  const std::vector<Endpoint> peers = recent();
-  if (peers.size() >= settings_.size && !isKeptByOthers()) {
+  forgetOld();
+  if (heard_.size() >= settings_.size && !isKeptByOthers()) {
     return false;
   }
-  const std::uint64_t own_weight = weight(self_.address);
+  const std::uint64_t own_weight = weight(own_rank_);
   std::size_t before_self = 0;
-  for (const Endpoint& peer : peers) {
-    before_self += weight(peer) < own_weight ? 1 : 0;
+  for (const RankedPeer& peer : heard_.byRank()) {
+    ++peers_visited_;
+    before_self += weight(peer.rank) < own_weight ? 1 : 0;
+    if (before_self >= owners) {
+      return false;
+    }
   }
   return before_self < owners;
 }
 
 bool PeerDirectory::isKeptByOthers() const {
-  const std::vector<Endpoint> kept_for_link = fastest();
+  const RankedPeer* last_of_fastest = lastOfFastest();
   const bool is_fast =
-      kept_for_link.empty() || isBetterUpstream(self_.address, kept_for_link.back());
-  return is_fast || peerRank(self_.address) <= highestKeptRank();
+      last_of_fastest == nullptr || BetterUpstream()(RankedPeer(self_), *last_of_fastest);
+  return is_fast || own_rank_ <= highestKeptRank();
 }
 
-PeerRank PeerDirectory::highestKeptRank() const {
-  const std::vector<Endpoint> kept_for_link = fastest();
-  PeerRank highest = 1;
-  for (const auto& [peer, heard] : heard_) {
-    const bool is_fast =
-        std::find(kept_for_link.begin(), kept_for_link.end(), peer) != kept_for_link.end();
-    highest = is_fast ? highest : std::max(highest, peerRank(peer));
+const RankedPeer* PeerDirectory::lastOfFastest() const {
+  const std::size_t count = std::min({settings_.fastest, settings_.size / 2, heard_.size()});
+  peers_visited_ += count;
+  return count == 0
+             ? nullptr
+             : &*std::next(heard_.byQuality().begin(), static_cast<std::ptrdiff_t>(count) - 1);
+}
+
+const RankedPeer* PeerDirectory::highestKept() const {
+  const RankedPeer* last_of_fastest = lastOfFastest();
+  const RankedPeers::ByRank& by_rank = heard_.byRank();
+  for (auto peer = by_rank.rbegin(); peer != by_rank.rend(); ++peer) {
+    ++peers_visited_;
+    if (last_of_fastest == nullptr || BetterUpstream()(*last_of_fastest, *peer)) {
+      return &*peer;
+    }
   }
-  return highest;
+  return nullptr;
+}
+
+PeerRank PeerDirectory::highestKeptRank() const {
+  const RankedPeer* highest = highestKept();
+  return highest == nullptr ? 1 : std::max<PeerRank>(1, highest->rank);
 }
 
 double PeerDirectory::fleetSize() {
@@ -196,9 +231,12 @@
   }
   // All peers up to the highest rank that was kept for its rank are known.
   const PeerRank highest = highestKeptRank();
-  const auto known = std::count_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
-    return peerRank(entry.first) <= highest;
-  });
+  std::size_t known = heard_.size();
+  const RankedPeers::ByRank& by_rank = heard_.byRank();
+  for (auto peer = by_rank.rbegin(); peer != by_rank.rend() && peer->rank > highest; ++peer) {
+    ++peers_visited_;
+    --known;
+  }
   constexpr auto kAllRanks = static_cast<double>(std::numeric_limits<PeerRank>::max());
   return static_cast<double>(known) * (kAllRanks / static_cast<double>(highest)) + 1;
 }
@@ -215,12 +253,34 @@
 
 void PeerDirectory::forgetOld() {
   const MonotonicTime now = time_source_.monotonicTime();
-  std::erase_if(quarantined_until_, [&](const auto& entry) { return now > entry.second; });
-  std::erase_if(unavailable_until_, [&](const auto& entry) { return now > entry.second; });
-  std::erase_if(heard_,
-                [&](const auto& entry) { return now - entry.second.at > settings_.lifetime; });
-  std::erase_if(view_shown_at_,
-                [&](const auto& entry) { return now - entry.second > settings_.view_shown_for; });
+  if (now <= forget_from_) {
+    return;
+  }
+  forget_from_ = MonotonicTime::max();
+  forgetOldQuarantines(quarantined_until_);
+  forgetOldQuarantines(unavailable_until_);
+  peers_visited_ += heard_.size();
+  const MonotonicTime first_heard = heard_.eraseBefore(now - settings_.lifetime);
+  if (heard_.size() > 0) {
+    forgetFrom(first_heard + settings_.lifetime);
+  }
+  while (!shown_views_.empty()) {
+    const ShownView oldest = *shown_views_.rbegin();
+    if (now - oldest.at <= settings_.view_shown_for) {
+      forgetFrom(oldest.at + settings_.view_shown_for);
+      break;
+    }
+    view_shown_at_.erase(oldest.peer);
+    shown_views_.erase(oldest);
+  }
+}
+
+void PeerDirectory::forgetOldQuarantines(std::map<Endpoint, MonotonicTime>& quarantines) {
+  const MonotonicTime now = time_source_.monotonicTime();
+  std::erase_if(quarantines, [&](const auto& entry) { return now > entry.second; });
+  for (const auto& [peer, until] : quarantines) {
+    forgetFrom(until);
+  }
 }
 
 void PeerDirectory::add(const KnownPeer& peer) {
@@ -228,38 +288,19 @@
     return;
   }
   forgetOld();
-  heard_[peer.address] = {time_source_.monotonicTime(), peer.link};
+  const MonotonicTime now = time_source_.monotonicTime();
+  heard_.put(peer, now);
+  forgetFrom(now + settings_.lifetime);
   if (heard_.size() > settings_.size) {
     evictHighestRank();
   }
 }
 
 void PeerDirectory::evictHighestRank() {
-  const std::vector<Endpoint> kept_for_link = fastest();
-  auto highest = heard_.end();
-  for (auto entry = heard_.begin(); entry != heard_.end(); ++entry) {
-    const bool is_fast =
-        std::find(kept_for_link.begin(), kept_for_link.end(), entry->first) != kept_for_link.end();
-    const bool is_higher = highest == heard_.end() || hasLowerRank(highest->first, entry->first);
-    highest = !is_fast && is_higher ? entry : highest;
-  }
-  if (highest != heard_.end()) {
-    heard_.erase(highest);
+  const RankedPeer* highest = highestKept();
+  if (highest != nullptr) {
+    heard_.erase(highest->address);
   }
 }
 
-std::vector<Endpoint> PeerDirectory::fastest() const {
-  std::vector<Endpoint> peers;
-  for (const auto& [peer, heard] : heard_) {
-    peers.push_back(peer);
-  }
-  const std::size_t count = std::min({settings_.fastest, settings_.size / 2, peers.size()});
-  const auto end = peers.begin() + static_cast<std::ptrdiff_t>(count);
-  std::partial_sort(peers.begin(), end, peers.end(), [this](Endpoint left, Endpoint right) {
-    return isBetterUpstream(left, right);
-  });
-  peers.erase(end, peers.end());
-  return peers;
-}
-
 }  // namespace lugfork
--- a/src/discovery/peer_directory.h
+++ b/src/discovery/peer_directory.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "common/random_generator.h"
 #include "common/time_source.h"
-#include "discovery/peer_client.h"
+#include "discovery/ranked_peers.h"
 
 namespace lugfork {
 
@@ -36,12 +39,6 @@
   std::size_t fastest = 16;
 };
 
-/** Position of a balancer in an order that all balancers share without agreement. */
-using PeerRank = std::uint64_t;
-
-/** @return the rank of a balancer: a hash of its address, so that ranks are spread evenly. */
-PeerRank peerRank(Endpoint peer);
-
 /**
  * Addresses of other balancers: the seeds of the settings, which may be old, and those that asked
  * this one or were told by another. Each node knows a few, whatever the size of the fleet. Since
@@ -79,9 +76,12 @@
   /** @return a random peer that was heard of lately, or a seed; nothing where there is none. */
   std::optional<Endpoint> pick();
 
-  /** @return the peers heard of lately, to tell others. */
+  /** @return the peers heard of lately. */
   std::vector<Endpoint> recent();
 
+  /** @return true where a peer was heard of lately. */
+  bool knowsPeers();
+
   /** @return this balancer and the peers heard of lately, the best upstreams first. */
   std::vector<KnownPeer> toTell(std::size_t limit);
 
@@ -91,8 +91,8 @@
   /** @return true where others begin by asking this balancer. */
   bool isSeed() const { return is_seed_; }
 
-  /** @return peers and seeds that are not in quarantine, the best upstream first. */
-  std::vector<Endpoint> ranked();
+  /** @return the best upstreams of peers and seeds that are not in quarantine, the best first. */
+  std::vector<Endpoint> ranked(std::size_t limit = std::numeric_limits<std::size_t>::max());
 
   /**
    * @return true where the balancer on the left is the better upstream: the one with the faster
@@ -112,13 +112,30 @@
    */
   double fleetSize();
 
+  /** @return the peers that were looked at one by one, for all time. */
+  std::uint64_t peersVisited() const { return peers_visited_; }
+
  private:
+  /** When a peer has shown a view; the last first. */
+  struct ShownView {
+    MonotonicTime at;
+    Endpoint peer;
+    bool operator<(const ShownView& other) const {
+      return at == other.at ? peer < other.peer : at > other.at;
+    }
+  };
+
   void forgetOld();
+  /** Notes that something will be old from a time on. */
+  void forgetFrom(MonotonicTime time) { forget_from_ = std::min(forget_from_, time); }
+  void forgetOldQuarantines(std::map<Endpoint, MonotonicTime>& quarantines);
   void add(const KnownPeer& peer);
   void evictHighestRank();
-  /** @return the peers with the fastest links, which are never evicted. */
-  std::vector<Endpoint> fastest() const;
-  /** @return the highest rank of the peers that were kept for their rank. */
+  /** @return the last of the peers with the fastest links, which are never evicted; or nullptr. */
+  const RankedPeer* lastOfFastest() const;
+  /** @return the peer of the highest rank of those that were kept for their rank, or nullptr. */
+  const RankedPeer* highestKept() const;
+  /** @return the rank of that peer. */
   PeerRank highestKeptRank() const;
   /** @return true where this balancer is among those that all full directories keep. */
   bool isKeptByOthers() const;
@@ -128,18 +145,21 @@
 
   const PeerDirectorySettings settings_;
   const KnownPeer self_;
+  const PeerRank own_rank_;
   std::vector<Endpoint> seeds_;
+  /** The seeds as peers of unknown links, the lowest rank first. */
+  std::set<RankedPeer, BetterUpstream> ranked_seeds_;
   const bool is_seed_;
   const TimeSource& time_source_;
   RandomGenerator& random_;
-  struct Heard {
-    MonotonicTime at;
-    LinkClass link = 0;
-  };
-  std::map<Endpoint, Heard> heard_;
+  RankedPeers heard_;
   std::map<Endpoint, MonotonicTime> quarantined_until_;
   std::map<Endpoint, MonotonicTime> unavailable_until_;
   std::map<Endpoint, MonotonicTime> view_shown_at_;
+  std::set<ShownView> shown_views_;
+  /** Nothing above is old before this time. */
+  MonotonicTime forget_from_ = MonotonicTime::max();
+  mutable std::uint64_t peers_visited_ = 0;
 };
 
 }  // namespace lugfork
--- a/src/discovery/upstream_selector.cc
+++ b/src/discovery/upstream_selector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lugfork {
 
@@ -23,20 +24,18 @@
     return {};
   }
   const std::size_t watchers = watcherCount();
-  std::vector<Endpoint> ranked = directory_.ranked();
+  std::vector<Endpoint> ranked = directory_.ranked(watchers);
   const bool is_watcher =
       ranked.size() < watchers || directory_.isBetterUpstream(own_address_, ranked[watchers - 1]);
   if (is_watcher) {
     return {};
   }
-  ranked.resize(watchers);
-  return rotated(ranked);
+  return rotated(std::move(ranked));
 }
 
 std::vector<Endpoint> UpstreamSelector::standIns() {
-  std::vector<Endpoint> ranked = directory_.ranked();
   // One more than there are watchers: this balancer may be one of them.
-  ranked.resize(std::min(ranked.size(), watcherCount() + 1));
+  const std::vector<Endpoint> ranked = directory_.ranked(watcherCount() + 1);
   // Whoever has shown a view goes first: at a start the lowest ranks may not have one yet.
   std::vector<Endpoint> balancers = directory_.withView(kShownViews);
   for (const Endpoint& balancer : rotated(ranked)) {
@@ -52,13 +51,12 @@
   return static_cast<std::size_t>(std::ceil(watchers));
 }
 
-std::vector<Endpoint> UpstreamSelector::rotated(const std::vector<Endpoint>& balancers) const {
-  std::vector<Endpoint> list = balancers;
-  if (!list.empty()) {
-    const auto first = static_cast<std::ptrdiff_t>(own_rank_ % list.size());
-    std::rotate(list.begin(), list.begin() + first, list.end());
+std::vector<Endpoint> UpstreamSelector::rotated(std::vector<Endpoint> balancers) const {
+  if (!balancers.empty()) {
+    const auto first = static_cast<std::ptrdiff_t>(own_rank_ % balancers.size());
+    std::rotate(balancers.begin(), balancers.begin() + first, balancers.end());
   }
-  return list;
+  return balancers;
 }
 
 }  // namespace lugfork
--- a/src/discovery/upstream_selector.h
+++ b/src/discovery/upstream_selector.h
@@ -37,7 +37,7 @@
  private:
   std::size_t watcherCount();
   /** Begins the list at a place that depends on this balancer's rank. */
-  std::vector<Endpoint> rotated(const std::vector<Endpoint>& balancers) const;
+  std::vector<Endpoint> rotated(std::vector<Endpoint> balancers) const;
 
   const UpstreamSettings settings_;
   const Endpoint own_address_;
--- a/src/discovery/upstream_source.cc
+++ b/src/discovery/upstream_source.cc
@@ -47,30 +47,30 @@
     readStore(request, std::move(callback));
     return;
   }
-  const bool knows_fleet = !directory_.recent().empty();
+  const bool knows_fleet = directory_.knowsPeers();
   const auto first = knows_fleet ? selector_.upstreams() : std::vector<Endpoint>();
-  first_view_->read(
-      first, [this, request, callback = std::move(callback)](const std::optional<PeerView>& view) {
-        if (!view) {
-          readStore(request, callback);
-          return;
-        }
-        ++counters_.views_from_balancers;
-        caught_up_ = true;
-        schedule_.onTold(view->status.age_ms);
-        callback(toPage(*view));
-      });
+  first_view_->read(first,
+                    [this, request, callback = std::move(callback)](std::optional<PeerView> view) {
+                      if (!view) {
+                        readStore(request, callback);
+                        return;
+                      }
+                      ++counters_.views_from_balancers;
+                      caught_up_ = true;
+                      schedule_.onTold(view->status.age_ms);
+                      callback(toPage(std::move(*view)));
+                    });
 }
 
 bool UpstreamSource::startsAtStore() {
   if (peers_ == nullptr) {
     return true;
   }
-  const bool knows_fleet = !directory_.recent().empty();
+  const bool knows_fleet = directory_.knowsPeers();
   if (knows_fleet) {
     return selector_.upstreams().empty();
   }
-  return directory_.isSeed() || directory_.ranked().empty();
+  return directory_.isSeed() || directory_.ranked(1).empty();
 }
 
 void UpstreamSource::readStore(const PageRequest& request, PageCallback callback) {
@@ -374,14 +374,14 @@
          error == SourceError::Unavailable || error == SourceError::Malformed;
 }
 
-ItemPage UpstreamSource::toPage(const PeerView& view) {
+ItemPage UpstreamSource::toPage(PeerView view) {
   ItemPage page;
   page.at = view.at;
   page.age_ms = view.status.age_ms;
   page.is_whole_view = true;
   page.items.reserve(view.changes.size());
-  for (const ItemChange& change : view.changes) {
-    page.items.push_back(change.item);
+  for (ItemChange& change : view.changes) {
+    page.items.push_back(std::move(change.item));
   }
   return page;
 }
--- a/src/discovery/upstream_source.h
+++ b/src/discovery/upstream_source.h
@@ -149,7 +149,7 @@
   void setUpstream(Upstream upstream, Endpoint balancer, std::string_view cause);
   /** @return true where another balancer may know what the store did not answer. */
   static bool peersMayHelp(SourceError error);
-  static ItemPage toPage(const PeerView& view);
+  static ItemPage toPage(PeerView view);
 
   const UpstreamSourceSettings settings_;
   const Endpoint own_address_;
--- /dev/null
+++ b/tests/discovery/reference_peer_directory.h
@@ -0,0 +1,254 @@
+#pragma once
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "common/time_source.h"
+#include "discovery/peer_directory.h"
+
+/** What a PeerDirectory answers, found by sorting all that is known for each question. */
+namespace lugfork {
+
+class ReferencePeerDirectory {
+ public:
+  ReferencePeerDirectory(PeerDirectorySettings settings, KnownPeer self,
+                         std::vector<Endpoint> seeds, const TimeSource& time_source)
+      : settings_(settings), self_(self), seeds_(std::move(seeds)), time_source_(time_source) {
+    std::erase(seeds_, self_.address);
+  }
+
+  void onAlive(Endpoint peer) {
+    quarantined_until_.erase(peer);
+    add({peer, linkOf(peer)});
+  }
+
+  void onShown(const KnownPeer& peer) {
+    quarantined_until_.erase(peer.address);
+    add(peer);
+  }
+
+  void onTold(const std::vector<KnownPeer>& peers) {
+    for (const KnownPeer& peer : peers) {
+      const auto known = heard_.find(peer.address);
+      if (known != heard_.end()) {
+        // What others tell never refreshes what is known: a dead peer would be told for ever.
+        known->second.link = std::max(known->second.link, peer.link);
+      } else if (!isQuarantined(peer.address)) {
+        add(peer);
+      }
+    }
+  }
+
+  void onFailed(Endpoint peer) {
+    heard_.erase(peer);
+    quarantined_until_[peer] = time_source_.monotonicTime() + settings_.quarantine;
+  }
+
+  void onUnavailable(Endpoint peer) {
+    unavailable_until_[peer] = time_source_.monotonicTime() + settings_.short_quarantine;
+  }
+
+  void onShowsView(Endpoint peer) { view_shown_at_[peer] = time_source_.monotonicTime(); }
+
+  std::vector<Endpoint> withView(std::size_t limit) {
+    forgetOld();
+    std::vector<Endpoint> peers;
+    for (const auto& [peer, shown_at] : view_shown_at_) {
+      if (!isQuarantined(peer) && !isUnavailable(peer)) {
+        peers.push_back(peer);
+      }
+    }
+    std::sort(peers.begin(), peers.end(), [this](Endpoint left, Endpoint right) {
+      return view_shown_at_[left] > view_shown_at_[right];
+    });
+    peers.resize(std::min(peers.size(), limit));
+    return peers;
+  }
+
+  std::vector<Endpoint> recent() {
+    forgetOld();
+    std::vector<Endpoint> peers;
+    for (const auto& [peer, heard] : heard_) {
+      peers.push_back(peer);
+    }
+    return peers;
+  }
+
+  std::vector<KnownPeer> toTell(std::size_t limit) {
+    std::vector<Endpoint> peers = recent();
+    std::sort(peers.begin(), peers.end(),
+              [this](Endpoint left, Endpoint right) { return isBetterUpstream(left, right); });
+    std::vector<KnownPeer> told;
+    if (self_.address.isSet()) {
+      told.push_back(self_);
+    }
+    for (const Endpoint& peer : peers) {
+      if (told.size() < limit) {
+        told.push_back({peer, linkOf(peer)});
+      }
+    }
+    return told;
+  }
+
+  std::vector<Endpoint> ranked() {
+    std::vector<Endpoint> peers = recent();
+    for (const Endpoint& seed : seeds_) {
+      if (!heard_.contains(seed)) {
+        peers.push_back(seed);
+      }
+    }
+    std::erase_if(peers,
+                  [this](Endpoint peer) { return isQuarantined(peer) || isUnavailable(peer); });
+    std::sort(peers.begin(), peers.end(),
+              [this](Endpoint left, Endpoint right) { return isBetterUpstream(left, right); });
+    return peers;
+  }
+
+  bool isBetterUpstream(Endpoint left, Endpoint right) const {
+    const LinkClass left_link = linkOf(left);
+    const LinkClass right_link = linkOf(right);
+    return left_link == right_link ? hasLowerRank(left, right) : left_link > right_link;
+  }
+
+  bool isOwner(std::uint64_t key, std::size_t owners) {
+    const auto weight = [key](Endpoint peer) {
+      const std::uint64_t content[] = {key, peerRank(peer)};
+      return XXH3_64bits(content, sizeof(content));
+    };
+    const std::vector<Endpoint> peers = recent();
+    if (peers.size() >= settings_.size && !isKeptByOthers()) {
+      return false;
+    }
+    const std::uint64_t own_weight = weight(self_.address);
+    std::size_t before_self = 0;
+    for (const Endpoint& peer : peers) {
+      before_self += weight(peer) < own_weight ? 1 : 0;
+    }
+    return before_self < owners;
+  }
+
+  double fleetSize() {
+    forgetOld();
+    if (heard_.size() < settings_.size) {
+      return static_cast<double>(heard_.size()) + 1;
+    }
+    // All peers up to the highest rank that was kept for its rank are known.
+    const PeerRank highest = highestKeptRank();
+    const auto known = std::count_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
+      return peerRank(entry.first) <= highest;
+    });
+    constexpr auto kAllRanks = static_cast<double>(std::numeric_limits<PeerRank>::max());
+    return static_cast<double>(known) * (kAllRanks / static_cast<double>(highest)) + 1;
+  }
+
+ private:
+  struct Heard {
+    MonotonicTime at;
+    LinkClass link = 0;
+  };
+
+  static bool hasLowerRank(Endpoint left, Endpoint right) {
+    return peerRank(left) < peerRank(right);
+  }
+
+  LinkClass linkOf(Endpoint peer) const {
+    if (peer == self_.address) {
+      return self_.link;
+    }
+    const auto found = heard_.find(peer);
+    return found == heard_.end() ? LinkClass{0} : found->second.link;
+  }
+
+  bool isKeptByOthers() const {
+    const std::vector<Endpoint> kept_for_link = fastest();
+    const bool is_fast =
+        kept_for_link.empty() || isBetterUpstream(self_.address, kept_for_link.back());
+    return is_fast || peerRank(self_.address) <= highestKeptRank();
+  }
+
+  PeerRank highestKeptRank() const {
+    const std::vector<Endpoint> kept_for_link = fastest();
+    PeerRank highest = 1;
+    for (const auto& [peer, heard] : heard_) {
+      const bool is_fast =
+          std::find(kept_for_link.begin(), kept_for_link.end(), peer) != kept_for_link.end();
+      highest = is_fast ? highest : std::max(highest, peerRank(peer));
+    }
+    return highest;
+  }
+
+  bool isQuarantined(Endpoint peer) const {
+    const auto found = quarantined_until_.find(peer);
+    return found != quarantined_until_.end() && time_source_.monotonicTime() <= found->second;
+  }
+
+  bool isUnavailable(Endpoint peer) const {
+    const auto found = unavailable_until_.find(peer);
+    return found != unavailable_until_.end() && time_source_.monotonicTime() <= found->second;
+  }
+
+  void forgetOld() {
+    const MonotonicTime now = time_source_.monotonicTime();
+    std::erase_if(quarantined_until_, [&](const auto& entry) { return now > entry.second; });
+    std::erase_if(unavailable_until_, [&](const auto& entry) { return now > entry.second; });
+    std::erase_if(heard_,
+                  [&](const auto& entry) { return now - entry.second.at > settings_.lifetime; });
+    std::erase_if(view_shown_at_,
+                  [&](const auto& entry) { return now - entry.second > settings_.view_shown_for; });
+  }
+
+  void add(const KnownPeer& peer) {
+    if (peer.address == self_.address || !peer.address.isSet()) {
+      return;
+    }
+    forgetOld();
+    heard_[peer.address] = {time_source_.monotonicTime(), peer.link};
+    if (heard_.size() > settings_.size) {
+      evictHighestRank();
+    }
+  }
+
+  void evictHighestRank() {
+    const std::vector<Endpoint> kept_for_link = fastest();
+    auto highest = heard_.end();
+    for (auto entry = heard_.begin(); entry != heard_.end(); ++entry) {
+      const bool is_fast = std::find(kept_for_link.begin(), kept_for_link.end(), entry->first) !=
+                           kept_for_link.end();
+      const bool is_higher = highest == heard_.end() || hasLowerRank(highest->first, entry->first);
+      highest = !is_fast && is_higher ? entry : highest;
+    }
+    if (highest != heard_.end()) {
+      heard_.erase(highest);
+    }
+  }
+
+  std::vector<Endpoint> fastest() const {
+    std::vector<Endpoint> peers;
+    for (const auto& [peer, heard] : heard_) {
+      peers.push_back(peer);
+    }
+    const std::size_t count = std::min({settings_.fastest, settings_.size / 2, peers.size()});
+    const auto end = peers.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(peers.begin(), end, peers.end(), [this](Endpoint left, Endpoint right) {
+      return isBetterUpstream(left, right);
+    });
+    peers.erase(end, peers.end());
+    return peers;
+  }
+
+  const PeerDirectorySettings settings_;
+  const KnownPeer self_;
+  std::vector<Endpoint> seeds_;
+  const TimeSource& time_source_;
+  std::map<Endpoint, Heard> heard_;
+  std::map<Endpoint, MonotonicTime> quarantined_until_;
+  std::map<Endpoint, MonotonicTime> unavailable_until_;
+  std::map<Endpoint, MonotonicTime> view_shown_at_;
+};
+
+}  // namespace lugfork
