--- a/src/discovery/item_view.cc
+++ b/src/discovery/item_view.cc
@@ -1,6 +1,7 @@
 #include "discovery/item_view.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lugfork {
@@ -13,12 +14,22 @@
 }  // namespace
 
 bool ItemView::apply(const ItemChange& change) {
-  Known& known = known_[change.item.key];
+  return apply(entryOf(change.item.key), change);
+}
+
+ItemView::Known& ItemView::entryOf(const std::string& key) {
+  // Pages are in the order of their keys: a first view then compares each key with one other.
+  const bool comes_last = known_.empty() || std::prev(known_.end())->first < key;
+  return comes_last ? known_.try_emplace(known_.end(), key)->second : known_[key];
+}
+
+bool ItemView::apply(Known& known, const ItemChange& change) {
   if (change.item.revision <= known.item.revision) {
     return false;
   }
   unindex(known);
-  known = {change.item, change.deleted};
+  known.item = change.item;
+  known.deleted = change.deleted;
   by_revision_.emplace(change.item.revision, &known);
   deletions_ += change.deleted ? 1 : 0;
   newest_ = std::max(newest_, change.item.revision);
@@ -27,20 +38,22 @@
 }
 
 void ItemView::startFullRead() {
-  shown_.clear();
+  ++full_read_;
   full_read_at_.reset();
 }
 
-std::vector<ItemChange> ItemView::applyPage(const ItemPage& page) {
+std::vector<ItemChange> ItemView::applyPage(ItemPage page) {
   if (!full_read_at_) {
     full_read_at_ = page.at;
   }
   std::vector<ItemChange> news;
-  for (const Item& item : page.items) {
-    shown_.insert(item.key);
-    const ItemChange change{item, false};
-    if (apply(change)) {
-      news.push_back(change);
+  news.reserve(page.items.size());
+  for (Item& item : page.items) {
+    Known& known = entryOf(item.key);
+    known.shown_in = full_read_;
+    ItemChange change{std::move(item), false};
+    if (apply(known, change)) {
+      news.push_back(std::move(change));
     }
   }
   return news;
@@ -51,7 +64,7 @@
   std::vector<ItemChange> deletions;
   for (const auto& [key, known] : known_) {
     const bool covered = known.item.revision <= at;
-    if (covered && !known.deleted && !shown_.contains(key)) {
+    if (covered && !known.deleted && known.shown_in != full_read_) {
       deletions.push_back(
           {{key, "", std::max(at, known.item.revision + 1), known.item.created}, true});
     }
@@ -59,7 +72,6 @@
   for (const ItemChange& deletion : deletions) {
     apply(deletion);
   }
-  shown_.clear();
   const bool is_first = !std::exchange(has_full_read_, true);
   history_from_ = is_first ? std::max(history_from_, at) : history_from_;
   return deletions;
--- a/src/discovery/item_view.h
+++ b/src/discovery/item_view.h
@@ -4,7 +4,6 @@
 #include <limits>
 #include <map>
 #include <optional>
-#include <unordered_set>
 
 #include "discovery/item_source.h"
 
@@ -25,7 +24,7 @@
   void startFullRead();
 
   /** @return the items of the page that are newer than what was known. */
-  std::vector<ItemChange> applyPage(const ItemPage& page);
+  std::vector<ItemChange> applyPage(ItemPage page);
 
   /**
    * Ends a full read: keys that it did not show and that were not written since are deleted. Since
@@ -61,9 +60,14 @@
   struct Known {
     Item item;
     bool deleted = false;
+    /** The full read that has shown it last. */
+    std::uint64_t shown_in = 0;
   };
   using KnownItems = std::map<std::string, Known>;
 
+  /** @return what is known of a key, which is entered where it was not. */
+  Known& entryOf(const std::string& key);
+  bool apply(Known& known, const ItemChange& change);
   void unindex(const Known& known);
   /** Forgets the oldest deletions beyond a limit, and with them the history before. */
   void forgetOldDeletions();
@@ -72,7 +76,8 @@
   /** What is known, in the order of its last changes; elements of the map stay where they are. */
   std::multimap<Revision, const Known*> by_revision_;
   std::size_t deletions_ = 0;
-  std::unordered_set<std::string> shown_;
+  /** Number of the full read that is under way, or was last. */
+  std::uint64_t full_read_ = 1;
   std::optional<Revision> full_read_at_;
   Revision newest_ = 0;
   Revision position_ = 0;
--- a/src/discovery/view_follower.cc
+++ b/src/discovery/view_follower.cc
@@ -49,27 +49,31 @@
 void ViewFollower::readNextPage() {
   ++counters_.pages;
   source_.readPage({prefix_, page_after_key_, consistency_},
-                   [this](const Result<ItemPage, SourceError>& answer) { onPage(answer); });
+                   [this](Result<ItemPage, SourceError> answer) { onPage(std::move(answer)); });
 }
 
-void ViewFollower::onPage(const Result<ItemPage, SourceError>& answer) {
+void ViewFollower::onPage(Result<ItemPage, SourceError> answer) {
   if (!answer) {
     onError(answer.error());
     retry([this] { readNextPage(); });
     return;
   }
-  const ItemPage& page = answer.value();
+  ItemPage& page = answer.value();
+  const bool is_whole_view = page.is_whole_view;
   onAnswer(milliseconds(page.age_ms));
-  if (page.is_whole_view) {
+  if (is_whole_view) {
     view_.startFullRead();
   }
-  tell(view_.applyPage(page));
-  if (page.more && !page.items.empty()) {
+  const bool goes_on = page.more && !page.items.empty();
+  if (goes_on) {
     page_after_key_ = page.items.back().key;
+  }
+  tell(view_.applyPage(std::move(page)));
+  if (goes_on) {
     readNextPage();
     return;
   }
-  finishFullRead(page.is_whole_view);
+  finishFullRead(is_whole_view);
 }
 
 void ViewFollower::finishFullRead(bool is_whole_view) {
--- a/src/discovery/view_follower.h
+++ b/src/discovery/view_follower.h
@@ -103,7 +103,7 @@
  private:
   void startFullRead(ReadConsistency consistency);
   void readNextPage();
-  void onPage(const Result<ItemPage, SourceError>& answer);
+  void onPage(Result<ItemPage, SourceError> answer);
   void finishFullRead(bool is_whole_view);
   void setCaughtUp();
   void startWatch(Duration wait);
--- a/src/wire/message_codec.h
+++ b/src/wire/message_codec.h
@@ -34,6 +34,11 @@
 template <std::size_t Size>
 struct IsByteArray<std::array<std::uint8_t, Size>> : std::true_type {};
 
+/** Byte string that is kept as a text, where that saves a copy. */
+struct BinaryText {
+  std::string text;
+};
+
 template <typename T>
 struct IsVector : std::false_type {};
 template <typename T>
@@ -55,6 +60,9 @@
     packer.pack_bin(static_cast<std::uint32_t>(value.size()));
     packer.pack_bin_body(reinterpret_cast<const char*>(value.data()),
                          static_cast<std::uint32_t>(value.size()));
+  } else if constexpr (std::is_same_v<T, BinaryText>) {
+    packer.pack_bin(static_cast<std::uint32_t>(value.text.size()));
+    packer.pack_bin_body(value.text.data(), static_cast<std::uint32_t>(value.text.size()));
   } else if constexpr (IsVector<T>::value) {
     packer.pack_array(static_cast<std::uint32_t>(value.size()));
     for (const auto& element : value) {
@@ -141,6 +149,12 @@
     const auto* first = reinterpret_cast<const std::uint8_t*>(object.via.bin.ptr);
     value.assign(first, first + object.via.bin.size);
     return true;
+  } else if constexpr (std::is_same_v<T, BinaryText>) {
+    if (object.type != msgpack::type::BIN) {
+      return false;
+    }
+    value.text.assign(object.via.bin.ptr, object.via.bin.size);
+    return true;
   } else if constexpr (IsByteArray<T>::value) {
     if (object.type != msgpack::type::BIN || object.via.bin.size != value.size()) {
       return false;
@@ -188,8 +202,10 @@
 bool decodeStruct(const Bytes& bytes, T& value) {
   try {
     const msgpack::unpack_limit limits(bytes.size(), 0, bytes.size(), bytes.size(), 0, 8);
+    // Strings and bytes are referenced in place.
     const msgpack::object_handle handle = msgpack::unpack(
-        reinterpret_cast<const char*>(bytes.data()), bytes.size(), nullptr, nullptr, limits);
+        reinterpret_cast<const char*>(bytes.data()), bytes.size(),
+        [](msgpack::type::object_type, std::size_t, void*) { return true; }, nullptr, limits);
     return unpackValue(handle.get(), value);
   } catch (const msgpack::unpack_error&) {
     return false;
--- a/src/wire/view_transfer_codec.cc
+++ b/src/wire/view_transfer_codec.cc
@@ -35,7 +35,7 @@
 /** One change as it is passed on: flat, since most of a view's bytes are in these. */
 struct PackedChange {
   std::string key;
-  Bytes value;
+  message_codec::BinaryText value;
   Revision revision = 0;
   Revision created = 0;
   bool deleted = false;
@@ -55,8 +55,7 @@
   packed.changes.reserve(body.changes.size());
   for (const ItemChange& change : body.changes) {
     const Item& item = change.item;
-    packed.changes.push_back({item.key, Bytes(item.value.begin(), item.value.end()), item.revision,
-                              item.created, change.deleted});
+    packed.changes.push_back({item.key, {item.value}, item.revision, item.created, change.deleted});
   }
   return packed;
 }
@@ -66,8 +65,7 @@
   body.changes.reserve(packed.changes.size());
   for (PackedChange& change : packed.changes) {
     body.changes.push_back(
-        {{std::move(change.key), std::string(change.value.begin(), change.value.end()),
-          change.revision, change.created},
+        {{std::move(change.key), std::move(change.value.text), change.revision, change.created},
          change.deleted});
   }
   return body;
