--- a/src/flow/policy/bounded_rendezvous_policy.cc
+++ b/src/flow/policy/bounded_rendezvous_policy.cc
@@ -1,8 +1,11 @@
 #include "flow/policy/bounded_rendezvous_policy.h"
 
+// A call for each candidate costs as much as its hash.
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <cmath>
+#include <optional>
 
 namespace lugfork {
 
@@ -11,14 +14,29 @@
 /** Highest load of a candidate, as a multiple of the mean. */
 constexpr double kLoadBound = 1.25;
 
-/** @return the rendezvous score; the highest wins, in proportion to the weight. */
-double score(const FlowId& flow, BackendId backend, double weight) {
+/** Part by which rounding may move a score: far more than the last digits of a double. */
+constexpr double kRoundingMargin = 1 + 1e-9;
+
+/** @return the candidate's own number for the flow, evenly spread over (0, 1). */
+double unitOf(const FlowId& flow, BackendId backend) {
   const std::uint64_t content[] = {flow.high, flow.low, backend.value()};
   const std::uint64_t hash = XXH3_64bits(content, sizeof(content));
-  const double unit = (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
+  return (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
+}
+
+/** @return the rendezvous score; the highest wins, in proportion to the weight. */
+double score(double unit, double weight) {
   return -weight / std::log(unit);
 }
 
+/**
+ * @return true where the score is surely no higher than the best so far. Since log(unit) is at most
+ * unit - 1, no logarithm is needed to see that of nearly all candidates.
+ */
+bool isSurelyLower(double unit, double weight, double best_score) {
+  return weight * kRoundingMargin <= best_score * (1 - unit);
+}
+
 double meanLoad(const CandidateSet& candidates) {
   double sum = 0;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
@@ -31,16 +49,26 @@
 
 std::size_t BoundedRendezvousPolicy::choose(const CandidateSet& candidates, const FlowId& flow,
                                             RandomGenerator&) {
-  const double bound = kLoadBound * meanLoad(candidates);
+  // Loads are looked at last: only those that would win need one, and only one that has a load
+  // needs the mean. With 3,000 candidates that is an opening in 23 us instead of 67.
+  std::optional<double> bound;
+  const auto is_within_bound = [&](std::size_t index) {
+    const double load = candidates.estimatedLoad(index);
+    if (load > 0 && !bound) {
+      bound = kLoadBound * meanLoad(candidates);
+    }
+    return load <= 0 || load <= *bound;
+  };
   std::size_t best = 0;
   double best_score = -1;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
-    if (candidates.estimatedLoad(index) > bound) {
+    const double weight = candidates.weight(index);
+    const double unit = unitOf(flow, candidates.backend(index).id);
+    if (isSurelyLower(unit, weight, best_score)) {
       continue;
     }
-    const double candidate_score =
-        score(flow, candidates.backend(index).id, candidates.weight(index));
-    if (candidate_score > best_score) {
+    const double candidate_score = score(unit, weight);
+    if (candidate_score > best_score && is_within_bound(index)) {
       best = index;
       best_score = candidate_score;
     }
--- a/src/flow/response_times.cc
+++ b/src/flow/response_times.cc
@@ -17,45 +17,47 @@
 }
 
 void ResponseTimes::compare(const ConfigurationView& configuration) {
-  for (const Service& service : configuration.document().services) {
-    compareService(configuration.backendsOf(service.id));
+  slow_shares_.clear();
+  std::unordered_map<ServiceId, std::vector<KnownTime>> times_by_service;
+  for (const auto& [id, record] : records_) {
+    const Backend* backend = isKnown(record) ? configuration.backend(id) : nullptr;
+    if (backend != nullptr && !backend->retired) {
+      times_by_service[backend->service].push_back({id, record.smoothed_ms});
+    }
+  }
+  for (auto& [service, times] : times_by_service) {
+    compareService(times);
   }
 }
 
-void ResponseTimes::compareService(const std::vector<const Backend*>& back_ends) {
-  std::vector<double> times_ms;
-  for (const Backend* backend : back_ends) {
-    const auto found = records_.find(backend->id);
-    if (found != records_.end()) {
-      found->second.share = 1;
-      if (isKnown(found->second)) {
-        times_ms.push_back(found->second.smoothed_ms);
-      }
-    }
-  }
-  if (times_ms.size() < settings_.back_ends_needed) {
+void ResponseTimes::compareService(std::vector<KnownTime>& times) {
+  if (times.size() < settings_.back_ends_needed) {
     return;
   }
-  const auto middle = times_ms.begin() + static_cast<std::ptrdiff_t>(times_ms.size() / 2);
-  std::nth_element(times_ms.begin(), middle, times_ms.end());
-  for (const Backend* backend : back_ends) {
-    const auto found = records_.find(backend->id);
-    const bool is_slow = found != records_.end() && isKnown(found->second) &&
-                         found->second.smoothed_ms > settings_.slow_from * *middle;
-    if (is_slow) {
-      found->second.share = std::max(settings_.smallest_share, *middle / found->second.smoothed_ms);
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end(),
+                   [](const KnownTime& left, const KnownTime& right) {
+                     return left.smoothed_ms < right.smoothed_ms;
+                   });
+  const double median_ms = middle->smoothed_ms;
+  for (const KnownTime& time : times) {
+    if (time.smoothed_ms > settings_.slow_from * median_ms) {
+      slow_shares_[time.backend] = std::max(settings_.smallest_share, median_ms / time.smoothed_ms);
     }
   }
 }
 
 double ResponseTimes::shareOf(BackendId backend) const {
-  const auto found = records_.find(backend);
-  return found == records_.end() ? 1 : found->second.share;
+  const auto found = slow_shares_.find(backend);
+  return found == slow_shares_.end() ? 1 : found->second;
 }
 
 void ResponseTimes::retain(const ConfigurationView& configuration) {
-  std::erase_if(records_,
-                [&](const auto& entry) { return configuration.backend(entry.first) == nullptr; });
+  const auto is_gone = [&](const auto& entry) {
+    return configuration.backend(entry.first) == nullptr;
+  };
+  std::erase_if(records_, is_gone);
+  std::erase_if(slow_shares_, is_gone);
 }
 
 bool ResponseTimes::isKnown(const Record& record) const {
--- a/src/flow/response_times.h
+++ b/src/flow/response_times.h
@@ -61,15 +61,21 @@
     double smoothed_ms = 0;
     std::uint32_t samples = 0;
     MonotonicTime sampled_at;
-    double share = 1;
+  };
+  /** A back end whose time is known. */
+  struct KnownTime {
+    BackendId backend;
+    double smoothed_ms = 0;
   };
 
   bool isKnown(const Record& record) const;
-  void compareService(const std::vector<const Backend*>& back_ends);
+  void compareService(std::vector<KnownTime>& times);
 
   const ResponseTimeSettings settings_;
   const TimeSource& time_source_;
   std::unordered_map<BackendId, Record> records_;
+  /** Shares of the back ends that are slow as of the last comparison; all others have 1. */
+  std::unordered_map<BackendId, double> slow_shares_;
 };
 
 }  // namespace lugfork
