--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -112,6 +112,23 @@
   }
 }
 
+void addControlWork(MetricPage& page, const ControlWorkMeter& meter) {
+  for (std::size_t index = 0; index < kControlWorkCount; ++index) {
+    const auto work = static_cast<ControlWork>(index);
+    const ControlWorkCost& cost = meter.cost(work);
+    const MetricLabels labels = {{"kind", toString(work)}};
+    page.addCounter("lugfork_control_work_slices_total",
+                    "Slices of control work, in which packets wait.", cost.slices, labels);
+    page.addCounter("lugfork_control_work_units_total",
+                    "Items read, or back ends and routes brought up to date.", cost.units, labels);
+    page.addCounter("lugfork_control_work_processor_microseconds_total",
+                    "Processor time of control work.",
+                    static_cast<std::uint64_t>(cost.processor.count()), labels);
+    page.addGauge("lugfork_control_work_longest_seconds", "Processor time of the longest slice.",
+                  std::chrono::duration<double>(cost.longest).count(), labels);
+  }
+}
+
 }  // namespace
 
 PacketMetrics::PacketMetrics()
@@ -133,6 +150,7 @@
   if (figures.peer_socket != nullptr && figures.view_client != nullptr) {
     addPeerSocket(page, *figures.peer_socket, *figures.view_client);
   }
+  addControlWork(page, node.controlWork());
   addCounter(page, "lugfork_platform_records_invalid_total", "Items that can't be read.",
              node.counters().records_invalid);
   addCounter(page, "lugfork_log_lines_left_out_total", "Log lines left out by the limit.",
