--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -15,6 +15,13 @@
   return placement;
 }
 
+LocalitySettings localitySettingsOf(const PacketNodeSettings& settings) {
+  LocalitySettings locality = settings.locality;
+  locality.largest_weight = settings.placement.local_weight;
+  locality.largest_bulk_weight = settings.placement.bulk_local_weight;
+  return locality;
+}
+
 }  // namespace
 
 PacketNode::PacketNode(PacketNodeSettings settings, const PlatformLayout& layout,
@@ -33,6 +40,7 @@
       observer_(settings_.observer, time_source),
       silence_(settings_.silence, time_source, log),
       response_times_(settings_.response_times, time_source),
+      locality_(localitySettingsOf(settings_), time_source, log),
       tokens_(settings_.token_key),
       router_(decider_, silence_, observer_, tokens_, sender, *this, log),
       follower_(layout.prefix, settings_.follower, source, scheduler, time_source, random, *this) {
@@ -42,6 +50,7 @@
 
 void PacketNode::connectObservations() {
   placement_.setColdServerLimit(&cold_limit_);
+  placement_.setLocality(&locality_);
   if (settings_.uses.pass_over_suspects) {
     placement_.setSuspicion(&silence_);
   }
@@ -93,6 +102,9 @@
 
 void PacketNode::onResponse(BackendId backend, Duration duration) {
   response_times_.onResponse(backend, duration);
+  if (const Backend* known = decider_.configuration()->backend(backend)) {
+    placement_.onResponse(*known, duration);
+  }
   if (on_response_) {
     on_response_(duration);
   }
@@ -214,6 +226,7 @@
   silence_.retain(*configuration);
   response_times_.retain(*configuration);
   observer_.retain(*configuration);
+  locality_.retain(*configuration);
   decider_.setConfiguration(configuration);
   zones_out_of_service_ = registry_.zonesOutOfService();
   // The operator's first routes may come after the first full read.
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -38,6 +38,8 @@
   ObservationUses uses;
   SilenceSettings silence;
   ResponseTimeSettings response_times;
+  /** Its weights are taken from the placement's. */
+  LocalitySettings locality;
   LoadEstimateSettings load;
   ColdServerLimitSettings cold_servers;
   ViewFollowerSettings follower;
@@ -108,6 +110,9 @@
 
   const PacketCounters& packetCounters() const { return router_.counters(); }
   const PacketNodeCounters& counters() const { return counters_; }
+  const LocalityRouter& locality() const { return locality_; }
+  /** @return routes and back ends in force, or nullptr before the first. */
+  const ConfigurationView* configuration() const { return decider_.configuration(); }
   const ViewFollower& follower() const { return follower_; }
   /** @return the zones whose servers get no new flow, by the configuration in force. */
   std::size_t zonesOutOfService() const { return zones_out_of_service_; }
@@ -157,6 +162,7 @@
   FlowObserver observer_;
   SilenceDetector silence_;
   ResponseTimes response_times_;
+  LocalityRouter locality_;
   const CompactTokenCodec tokens_;
   PacketRouter router_;
   ViewFollower follower_;
--- /dev/null
+++ b/src/flow/locality_router.cc
@@ -0,0 +1,238 @@
+#include "flow/locality_router.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+namespace lugfork {
+
+namespace {
+
+/**
+ * Steps between all flows in the own zone and the even share: one is some 4% of the flows where
+ * three zones are alike, so that balancers a step apart still place 24 of 25 flows alike.
+ */
+constexpr int kSteps = 16;
+/** Time for which answers of the own zone count; steps are made on what the last one showed. */
+constexpr Duration kOwnLifetime = milliseconds(1500);
+/** The same for other zones, which get few flows: a small node sees one answer in two seconds. */
+constexpr Duration kOthersLifetime = seconds(10);
+/** Answers needed from each side before they are compared. */
+constexpr double kSamplesNeeded = 4;
+/** A difference counts from so many standard errors on: one comparison in 40 errs by chance. */
+constexpr double kStandardErrors = 2;
+/** Lateness, as a power of LocalitySettings::late_from, from which two steps are made at once. */
+constexpr double kVeryLatePower = 2.5;
+/** Steps for back ends that are very late. */
+constexpr int kVeryLateSteps = 2;
+
+}  // namespace
+
+std::string_view toString(LocalityMode mode) {
+  switch (mode) {
+    case LocalityMode::Constant:
+      return "constant";
+    case LocalityMode::Capacity:
+      return "capacity";
+    case LocalityMode::Adaptive:
+      return "adaptive";
+  }
+  return "unknown";
+}
+
+std::string_view toString(OverflowCause cause) {
+  switch (cause) {
+    case OverflowCause::None:
+      return "none";
+    case OverflowCause::Capacity:
+      return "capacity";
+    case OverflowCause::ResponseTime:
+      return "response_time";
+  }
+  return "unknown";
+}
+
+void LocalityRouter::onResponse(ServiceId service, bool own_zone, Duration duration) {
+  const auto found = states_.find(service);
+  if (found == states_.end()) {
+    return;
+  }
+  LogTimeStatistics& statistics = own_zone ? found->second.own : found->second.others;
+  statistics.add(duration, time_source_.monotonicTime());
+}
+
+void LocalityRouter::onPlaced(ServiceId service, bool own_zone) {
+  const auto found = states_.find(service);
+  if (found == states_.end()) {
+    return;
+  }
+  LocalityCounters& counters = found->second.counters;
+  std::uint64_t& counter =
+      own_zone ? counters.own_zone : counters.beyond[static_cast<std::size_t>(found->second.cause)];
+  ++counter;
+}
+
+void LocalityRouter::assess(const Service& service, const LocalityCapacity& capacity) {
+  State& state = states_[service.id];
+  const int level_before = state.level;
+  state.even_share = capacity.all_slots > 0 ? capacity.own_slots / capacity.all_slots : 1;
+  const int floor = floorOf(state, capacity);
+  if (!state.assessed) {
+    state.assessed = true;
+    state.own = LogTimeStatistics(kOwnLifetime);
+    state.others = LogTimeStatistics(kOthersLifetime);
+    state.return_interval = settings_.return_interval;
+    // A node that starts stands where those that see the same stand.
+    state.level = floor;
+  }
+  move(state, floor);
+  if (state.level == floor) {
+    state.cause = floor == 0 ? OverflowCause::None : OverflowCause::Capacity;
+  }
+  if (state.level != level_before) {
+    logStep(service, state, capacity);
+  }
+}
+
+void LocalityRouter::move(State& state, int floor) const {
+  const MonotonicTime now = time_source_.monotonicTime();
+  if (floor > state.level) {
+    // A zone that has lost its slots must not wait for late answers to show it.
+    raise(state, floor, 0, now);
+    state.cause = OverflowCause::Capacity;
+    return;
+  }
+  const Lateness seen =
+      settings_.mode == LocalityMode::Adaptive ? lateness(state, now) : Lateness::InTime;
+  if (seen == Lateness::InTime) {
+    stepBack(state, floor, now);
+    return;
+  }
+  state.not_before = now;
+  const bool may_raise = now - state.raised_at >= settings_.overflow_interval;
+  if (seen != Lateness::Between && may_raise && state.level < kSteps) {
+    raise(state, floor, seen == Lateness::VeryLate ? kVeryLateSteps : 1, now);
+    state.cause = OverflowCause::ResponseTime;
+  }
+}
+
+void LocalityRouter::raise(State& state, int floor, int steps, MonotonicTime now) const {
+  if (state.returned_last) {
+    // The last step back was one too many: wait longer before the next, or the share would swing.
+    state.return_interval = std::min(2 * state.return_interval, settings_.longest_return_interval);
+  }
+  state.returned_last = false;
+  state.level = std::clamp(state.level + steps, floor, kSteps);
+  state.raised_at = now;
+  state.not_before = now;
+}
+
+void LocalityRouter::stepBack(State& state, int floor, MonotonicTime now) const {
+  if (state.level <= floor) {
+    state.return_interval = settings_.return_interval;
+    return;
+  }
+  if (now - state.not_before < state.return_interval) {
+    return;
+  }
+  --state.level;
+  state.returned_last = true;
+  state.not_before = now;
+}
+
+int LocalityRouter::floorOf(const State& state, const LocalityCapacity& capacity) const {
+  if (settings_.mode == LocalityMode::Constant || state.even_share >= 1) {
+    return 0;
+  }
+  const double zones = static_cast<double>(std::max<std::size_t>(capacity.zones, 1));
+  const double usable =
+      capacity.all_usable > 0 ? capacity.own_usable / capacity.all_usable : state.even_share;
+  const double share = std::min(1.0, settings_.headroom * zones * usable);
+  const double away = (1 - share) / (1 - state.even_share);
+  // Shares in whole steps, away from the own zone in doubt; rounding errors make none.
+  return std::clamp(static_cast<int>(std::ceil(away * kSteps - 1e-9)), 0, kSteps);
+}
+
+bool LocalityRouter::ownZoneSuffices(const LocalityCapacity& capacity) const {
+  return settings_.mode != LocalityMode::Constant && capacity.own_slots > 0 &&
+         settings_.headroom * static_cast<double>(capacity.zones) * capacity.own_usable >=
+             capacity.all_slots;
+}
+
+LocalityRouter::Lateness LocalityRouter::lateness(const State& state, MonotonicTime now) const {
+  if (std::min(state.own.count(now), state.others.count(now)) < kSamplesNeeded) {
+    return Lateness::InTime;
+  }
+  const double gain_ms = state.own.typicalMs() - state.others.typicalMs();
+  const double smallest_ms =
+      std::chrono::duration<double, std::milli>(settings_.smallest_gain).count();
+  const double difference = state.own.mean() - state.others.mean();
+  const double error = std::sqrt(state.own.varianceOfMean(now) + state.others.varianceOfMean(now));
+  if (gain_ms < smallest_ms / 2 || difference < std::log(settings_.in_time_below)) {
+    return Lateness::InTime;
+  }
+  const double late = std::log(settings_.late_from);
+  if (gain_ms < smallest_ms || difference < std::max(late, kStandardErrors * error)) {
+    return Lateness::Between;
+  }
+  return difference < kVeryLatePower * late ? Lateness::Late : Lateness::VeryLate;
+}
+
+const LocalityRouter::State* LocalityRouter::find(ServiceId service) const {
+  const auto found = states_.find(service);
+  return found == states_.end() ? nullptr : &found->second;
+}
+
+double LocalityRouter::shareAt(const State& state) const {
+  return 1 - (1 - state.even_share) * state.level / kSteps;
+}
+
+double LocalityRouter::weight(ServiceId service, bool bulk) const {
+  const double largest = bulk ? settings_.largest_bulk_weight : settings_.largest_weight;
+  const State* state = find(service);
+  if (state == nullptr || state->level == 0 || state->even_share <= 0) {
+    return largest;
+  }
+  const double share = shareAt(*state);
+  const double others = (1 - state->even_share) / state->even_share;
+  return std::clamp(share / (1 - share) * others, 1.0, std::max(largest, 1.0));
+}
+
+double LocalityRouter::ownShare(ServiceId service) const {
+  const State* state = find(service);
+  if (state == nullptr) {
+    return 1;
+  }
+  const double own = weight(service, false) * state->even_share;
+  return own <= 0 ? 0 : own / (own + 1 - state->even_share);
+}
+
+OverflowCause LocalityRouter::cause(ServiceId service) const {
+  const State* state = find(service);
+  return state == nullptr ? OverflowCause::None : state->cause;
+}
+
+LocalityCounters LocalityRouter::counters(ServiceId service) const {
+  const State* state = find(service);
+  return state == nullptr ? LocalityCounters() : state->counters;
+}
+
+void LocalityRouter::retain(const ConfigurationView& configuration) {
+  std::erase_if(states_,
+                [&](const auto& entry) { return configuration.service(entry.first) == nullptr; });
+}
+
+void LocalityRouter::logStep(const Service& service, const State& state,
+                             const LocalityCapacity& capacity) const {
+  log_.write(
+      LogLevel::Info, "locality", "own_zone_share_changed",
+      {{"service", service.name},
+       {"share_percent", static_cast<std::uint64_t>(std::lround(100 * ownShare(service.id)))},
+       {"cause", std::string(toString(state.cause))},
+       {"own_slots_usable", static_cast<std::uint64_t>(std::lround(capacity.own_usable))},
+       {"all_slots_usable", static_cast<std::uint64_t>(std::lround(capacity.all_usable))},
+       {"own_ms", static_cast<std::uint64_t>(std::lround(state.own.typicalMs()))},
+       {"others_ms", static_cast<std::uint64_t>(std::lround(state.others.typicalMs()))}});
+}
+
+}  // namespace lugfork
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -70,13 +70,14 @@
                                                                 FlowVolume volume,
                                                                 BackendId excluded) {
   CandidateList& list = candidatesOf(service);
-  const Backend* chosen = choose(list, flow, volume);
+  const double local_weight = localWeight(service.id, volume);
+  const Backend* chosen = choose(list, flow, local_weight);
   if (chosen != nullptr && chosen->id == excluded) {
     std::vector<const Backend*>& backends = list.backends;
     std::iter_swap(std::find(backends.begin(), backends.end(), chosen), backends.end() - 1);
     backends.pop_back();
     const Backend* refused_before = chosen;
-    chosen = choose(list, flow, volume);
+    chosen = choose(list, flow, local_weight);
     backends.push_back(refused_before);
   }
   if (chosen == nullptr) {
@@ -86,6 +87,9 @@
   if (cold_limit_ != nullptr) {
     cold_limit_->onPlaced(*chosen);
   }
+  if (locality_ != nullptr) {
+    locality_->onPlaced(service.id, isLocal(*chosen));
+  }
   return chosen;
 }
 
@@ -100,9 +104,22 @@
   outliers_.onFailure(backend, attempt, candidatesOf(*service).size_when_made);
 }
 
-const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow, FlowVolume volume) {
-  const double local_weight =
-      volume == FlowVolume::Bulk ? settings_.bulk_local_weight : settings_.local_weight;
+void PlacementEngine::onResponse(const Backend& backend, Duration duration) {
+  if (locality_ != nullptr) {
+    locality_->onResponse(backend.service, isLocal(backend), duration);
+  }
+}
+
+double PlacementEngine::localWeight(ServiceId service, FlowVolume volume) const {
+  const bool bulk = volume == FlowVolume::Bulk;
+  if (locality_ != nullptr) {
+    return locality_->weight(service, bulk);
+  }
+  return bulk ? settings_.bulk_local_weight : settings_.local_weight;
+}
+
+const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow,
+                                       double local_weight) {
   std::vector<const Backend*>& backends = list.backends;
   while (!backends.empty()) {
     const LoadedCandidates candidates(backends, loads_, speed_, in_flight_, local_zone_,
@@ -172,6 +189,37 @@
   list.ignore_suspicion = static_cast<double>(suspects) >
                           settings_.panic_threshold * static_cast<double>(list.backends.size());
   list.size_when_made = list.backends.size();
+  if (locality_ != nullptr) {
+    assessLocality(service, list);
+  }
+}
+
+void PlacementEngine::assessLocality(const Service& service, CandidateList& list) {
+  const LocalityCapacity capacity = capacityOf(list);
+  locality_->assess(service, capacity);
+  if (locality_->ownZoneSuffices(capacity)) {
+    // In a zone that is cut off most back ends are silent, and those of the zone serve its callers.
+    list.ignore_suspicion = false;
+  }
+}
+
+LocalityCapacity PlacementEngine::capacityOf(const CandidateList& list) const {
+  const MonotonicTime now = time_source_.monotonicTime();
+  LocalityCapacity capacity;
+  capacity.zones = configuration_->document().zones.size();
+  for (const Backend* backend : list.backends) {
+    const bool usable =
+        !isSuspect(*backend) && loads_.looksReachable(*backend) && now >= backend->cold_until;
+    const double share = speed_ == nullptr ? 1 : speed_->shareOf(backend->id);
+    const double usable_slots = usable ? share * backend->slots : 0;
+    capacity.all_slots += backend->slots;
+    capacity.all_usable += usable_slots;
+    if (isLocal(*backend)) {
+      capacity.own_slots += backend->slots;
+      capacity.own_usable += usable_slots;
+    }
+  }
+  return capacity;
 }
 
 }  // namespace lugfork
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -7,6 +7,7 @@
 #include "common/result.h"
 #include "flow/backend_load_table.h"
 #include "flow/cold_server_limit.h"
+#include "flow/locality_router.h"
 #include "flow/outlier_detector.h"
 #include "flow/policy/placement_policy.h"
 #include "flow/requests_in_flight.h"
@@ -100,6 +101,12 @@
   /** Sets what tells of back ends that do not answer; they are passed over. */
   void setSuspicion(const BackendSuspicion* suspicion) { suspicion_ = suspicion; }
 
+  /** Sets what finds the own zone's weight; without it, it is the settings' constant. */
+  void setLocality(LocalityRouter* locality) { locality_ = locality; }
+
+  /** Takes data-path evidence of how long a back end took to answer. */
+  void onResponse(const Backend& backend, Duration duration);
+
   /** Takes data-path evidence that a back end works: a caller confirmed a piece of its answer. */
   void onBackendProgress(BackendId backend) { outliers_.onSuccess(backend); }
 
@@ -121,6 +128,12 @@
   CandidateList& candidatesOf(const Service& service);
   void makeCandidates(const Service& service, CandidateList& list);
   bool isStale(const CandidateList& list) const;
+
+  /** Tells the LocalityRouter what the candidates can take. */
+  void assessLocality(const Service& service, CandidateList& list);
+  LocalityCapacity capacityOf(const CandidateList& list) const;
+  double localWeight(ServiceId service, FlowVolume volume) const;
+  bool isLocal(const Backend& backend) const { return backend.zone == local_zone_; }
   bool isSuspect(const Backend& backend) const {
     return suspicion_ != nullptr && suspicion_->isSuspect(backend.id);
   }
@@ -129,7 +142,7 @@
   bool fits(const Backend& backend, const CandidateList& list) const;
 
   /** Chooses from the list and takes out what does not fit. @return nullptr if nothing is left. */
-  const Backend* choose(CandidateList& list, const FlowId& flow, FlowVolume volume);
+  const Backend* choose(CandidateList& list, const FlowId& flow, double local_weight);
   PlacementRefusal refusalFor(const Service& service, const CandidateList& list);
 
   const PlacementSettings settings_;
@@ -142,6 +155,7 @@
   const BackendSpeed* speed_ = nullptr;
   ColdServerLimit* cold_limit_ = nullptr;
   const RequestsInFlight* in_flight_ = nullptr;
+  LocalityRouter* locality_ = nullptr;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
   /** Id of the local zone in the configuration in force. */
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -104,6 +104,28 @@
              counters.bytes);
 }
 
+/** What leaves the zone, by service. */
+void addLocality(prometheus::Registry& registry, const PacketNode& node) {
+  if (node.configuration() == nullptr) {
+    return;
+  }
+  const LocalityRouter& locality = node.locality();
+  const char* help = "New flows placed, by zone and by why the share beyond the own zone was so.";
+  for (const Service& service : node.configuration()->document().services) {
+    const LocalityCounters counters = locality.counters(service.id);
+    addCounter(registry, "lugfork_flows_placed_total", help, counters.own_zone,
+               {{"service", service.name}, {"zone", "own"}, {"cause", "none"}});
+    for (std::size_t index = 0; index < std::size(counters.beyond); ++index) {
+      const std::string cause(toString(static_cast<OverflowCause>(index)));
+      addCounter(registry, "lugfork_flows_placed_total", help, counters.beyond[index],
+                 {{"service", service.name}, {"zone", "beyond"}, {"cause", cause}});
+    }
+    addGauge(registry, "lugfork_own_zone_share",
+             "Share of new flows that stays in the own zone, by slots and weight.",
+             locality.ownShare(service.id), {{"service", service.name}});
+  }
+}
+
 void addPeerSocket(prometheus::Registry& registry, const UdpPeerSocket& socket,
                    const ViewClient& client) {
   addCounter(registry, "lugfork_peer_datagrams_refused_total",
@@ -136,6 +158,7 @@
   if (figures.provider != nullptr) {
     addProvider(registry, figures.provider->counters());
   }
+  addLocality(registry, node);
   if (figures.peer_socket != nullptr && figures.view_client != nullptr) {
     addPeerSocket(registry, *figures.peer_socket, *figures.view_client);
   }
--- /dev/null
+++ b/tests/flow/locality_load_test.cc
@@ -0,0 +1,175 @@
+#include <catch2/catch.hpp>
+
+#include "flow/load_replay.h"
+
+/** The own zone's share under load: three alike zones of twenty balancers and ten servers each. */
+namespace lugfork {
+namespace {
+
+constexpr ReplayWay kConstant2{LocalityMode::Constant, 2};
+constexpr ReplayWay kConstant50{LocalityMode::Constant, 50};
+constexpr ReplayWay kAdaptive{LocalityMode::Adaptive, 50};
+
+LoadReplay evenLoad(ReplayWay way, double load) {
+  LoadReplay replay(way);
+  replay.load = {{1, load}, {2, load}, {3, load}};
+  return replay;
+}
+
+double lateShare(const ZoneSecond& sum) {
+  return static_cast<double>(sum.late + sum.refused) / sum.flows;
+}
+
+TEST_CASE("with all zones near the limit or beyond it the shares neither swing nor drift apart",
+          "[locality][load]") {
+  for (const double load : {0.5, 0.8, 1.0, 1.3}) {
+    INFO("load " << load);
+    LoadReplay replay = evenLoad(kAdaptive, load);
+    LoadReplay even = evenLoad(kConstant2, load);
+    replay.run(30);
+    even.run(30);
+    for (std::uint32_t zone = 1; zone <= kReplayZones; ++zone) {
+      const auto [most, least] = replay.range(zone, 20);
+      CHECK(least > 0.8);
+      CHECK(most - least < 0.15);
+      // Not served worse than with flows spread over the zones, but for chance.
+      CHECK(lateShare(replay.sum(zone, 20)) < lateShare(even.sum(zone, 20)) + 0.06);
+    }
+  }
+}
+
+TEST_CASE("a zone's last server is not run over by its zone", "[locality][load]") {
+  const auto after = [](ReplayWay way) {
+    LoadReplay replay = evenLoad(way, 0.4);
+    replay.run(5);
+    std::erase_if(replay.configuration.backends, [](const Backend& backend) {
+      return backend.zone == ZoneId(1) && backend.id != BackendId(100);
+    });
+    replay.apply();
+    replay.run(5);
+    return replay.sum(1, 5);
+  };
+  CHECK(lateShare(after(kAdaptive)) < 0.02);
+  // The replay tells the ways apart.
+  CHECK(lateShare(after(kConstant50)) > 0.1);
+}
+
+TEST_CASE("what a zone of half slow servers can't take in time goes beyond", "[locality][load]") {
+  const auto play = [](ReplayWay way) {
+    LoadReplay replay = evenLoad(way, 0.6);
+    replay.run(5);
+    for (std::uint32_t server = 100; server < 105; ++server) {
+      replay.servers[server].slowness = 4;
+    }
+    replay.run(20);
+    return replay;
+  };
+  LoadReplay adaptive = play(kAdaptive);
+  LoadReplay constant = play(kConstant50);
+  CHECK(adaptive.sum(1, 15).refused * 10 < constant.sum(1, 15).refused);
+  CHECK(lateShare(adaptive.sum(1, 15)) < 0.6 * lateShare(constant.sum(1, 15)));
+  // The other zones bear it.
+  CHECK(lateShare(adaptive.sum(2, 15)) < 0.03);
+  for (std::uint32_t server = 100; server < 105; ++server) {
+    adaptive.servers[server].slowness = 1;
+  }
+  adaptive.run(45);
+  CHECK(adaptive.sum(1, 5).ownShare() > 0.93);
+}
+
+TEST_CASE("clients that move to a zone are served by the others too, and not for longer",
+          "[locality][load]") {
+  const auto play = [](ReplayWay way) {
+    LoadReplay replay = evenLoad(way, 0.5);
+    replay.run(5);
+    replay.load = {{1, 1.3}, {2, 0.1}, {3, 0.1}};
+    replay.run(20);
+    return replay;
+  };
+  LoadReplay adaptive = play(kAdaptive);
+  CHECK(lateShare(adaptive.sum(1, 15)) < 0.01);
+  CHECK(lateShare(play(kConstant50).sum(1, 15)) > 0.4);
+  const auto [most, least] = adaptive.range(1, 10);
+  CHECK(most - least < 0.15);
+  adaptive.load = {{1, 0.5}, {2, 0.5}, {3, 0.5}};
+  adaptive.run(40);
+  CHECK(adaptive.sum(1, 5).ownShare() > 0.93);
+}
+
+TEST_CASE("balancers that see a dozen flows a second follow a move of clients too",
+          "[locality][load]") {
+  const auto play = [](ReplayWay way) {
+    LoadReplay replay(way, 60);
+    replay.load = {{1, 0.5}, {2, 0.5}, {3, 0.5}};
+    replay.run(5);
+    CHECK(replay.sum(1, 3).ownShare() > 0.93);
+    replay.load = {{1, 1.3}, {2, 0.1}, {3, 0.1}};
+    replay.run(20);
+    return replay;
+  };
+  CHECK(lateShare(play(kAdaptive).sum(1, 10)) < 0.05);
+  CHECK(lateShare(play(kConstant50).sum(1, 10)) > 0.4);
+}
+
+TEST_CASE("with all servers of the own zone suspect every flow goes beyond, and comes back slowly",
+          "[locality][load]") {
+  LoadReplay replay = evenLoad(kAdaptive, 0.3);
+  replay.run(3);
+  for (std::uint32_t server = 100; server < 110; ++server) {
+    replay.suspicion.suspects.insert(server);
+  }
+  replay.run(2);
+  CHECK(replay.sum(1, 1).own == 0);
+  CHECK(replay.sum(1, 1).refused == 0);
+  replay.suspicion.suspects.clear();
+  replay.run(2);
+  // Its servers get their even part first.
+  CHECK(replay.sum(1, 1).ownShare() < 0.5);
+  replay.run(25);
+  CHECK(replay.sum(1, 2).ownShare() > 0.93);
+}
+
+TEST_CASE("in a zone that is cut off nearly all flows stay with its servers", "[locality][load]") {
+  LoadReplay replay = evenLoad(kAdaptive, 0.3);
+  replay.run(3);
+  for (std::uint32_t server = 0; server < kServersOfZone; ++server) {
+    replay.suspicion.suspects.insert(200 + server);
+    replay.suspicion.suspects.insert(300 + server);
+  }
+  replay.run(2);
+  CHECK(replay.sum(1, 1).ownShare() == 1);
+  // A node whose own zone's servers are silent too learns nothing from that.
+  for (std::uint32_t server = 0; server < kServersOfZone; ++server) {
+    replay.suspicion.suspects.insert(100 + server);
+  }
+  replay.run(2);
+  CHECK(replay.sum(1, 1).refused == 0);
+}
+
+TEST_CASE("at a release of a zone's servers none of them gets a crowd", "[locality][load]") {
+  LoadReplay replay = evenLoad(kAdaptive, 0.4);
+  replay.run(5);
+  const double usual = 0.4 * kZoneCapacity / kServersOfZone;
+  for (std::uint32_t server = 0; server < kServersOfZone; ++server) {
+    Backend& leaving = replay.configuration.backends[server];
+    REQUIRE(leaving.zone == ZoneId(1));
+    leaving.draining = true;
+    replay.apply();
+    replay.run(1);
+    leaving.draining = false;
+    leaving.cold_until = replay.time.monotonicTime() + seconds(2);
+    replay.servers[leaving.id.value()].slowness = 1.6;
+    if (server >= 2) {
+      replay.servers[leaving.id.value() - 2].slowness = 1;
+    }
+    replay.apply();
+    replay.run(1);
+    for (std::uint32_t other = 100; other < 110; ++other) {
+      CHECK(replay.taken(other) < 2.2 * usual);
+    }
+    CHECK(lateShare(replay.sum(1, 2)) < 0.03);
+  }
+}
+
+}  // namespace
+}  // namespace lugfork
