--- a/tests/flow/locality_router_test.cc
+++ b/tests/flow/locality_router_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "flow/policy/bounded_rendezvous_policy.h"
 #include "flow/router_harness.h"
 
 namespace lugfork {
@@ -177,6 +178,46 @@
   CHECK(changes < 30);
 }
 
+/** 120 idle servers, each third in the own zone. */
+struct IdleServers : CandidateSet {
+  explicit IdleServers(double own_weight) : weight_of_own(own_weight) {
+    for (std::uint32_t id = 1; id <= 120; ++id) {
+      servers.push_back(makeBackend(id, kFeed, id % 3 == 0 ? kLac : kAriana));
+    }
+  }
+  std::size_t size() const override { return servers.size(); }
+  const Backend& backend(std::size_t index) const override { return servers[index]; }
+  double estimatedLoad(std::size_t) const override { return 0; }
+  double reportedLoad(std::size_t) const override { return 0; }
+  double weight(std::size_t index) const override {
+    return servers[index].zone == kLac ? weight_of_own : 1;
+  }
+  std::vector<Backend> servers;
+  double weight_of_own;
+};
+
+TEST_CASE("balancers whose shares differ by a step place nearly all flows alike", "[locality]") {
+  const auto random = makeSeededRandom(5);
+  LocalityHarness harness;
+  BoundedRendezvousPolicy policy;
+  std::vector<double> weights = {harness.router.weight(kFeed, false)};
+  while (harness.router.ownShare(kFeed) > 0.34) {
+    harness.pass(1, 42, 30);
+    weights.push_back(harness.router.weight(kFeed, false));
+  }
+  REQUIRE(weights.size() >= 16);
+  for (std::size_t step = 1; step < weights.size(); ++step) {
+    const IdleServers before(weights[step - 1]);
+    const IdleServers after(weights[step]);
+    int alike = 0;
+    for (std::uint64_t flow = 0; flow < 1000; ++flow) {
+      const FlowId id{7, flow};
+      alike += policy.choose(before, id, *random) == policy.choose(after, id, *random) ? 1 : 0;
+    }
+    CHECK(alike > 930);
+  }
+}
+
 TEST_CASE("flows are counted by where they go and why", "[locality]") {
   LocalityHarness harness;
   harness.router.onPlaced(kFeed, true);
--- a/tests/platform/packetd_test.cc
+++ b/tests/platform/packetd_test.cc
@@ -108,6 +108,9 @@
   for (int count = 0; count < kOpenings; ++count) {
     CHECK(in_ariana.receive().size() == kPrefixBytes + 32);
   }
+  CHECK(daemon.metricsSay(R"(lugfork_flows_placed_total{cause="none",service="s",zone="own"} 1)"));
+  CHECK(daemon.metricsSay(
+      R"(lugfork_flows_placed_total{cause="capacity",service="s",zone="beyond"} 20)"));
   Bytes data(first.begin() + kPrefixBytes, first.end());
   data[kFlagsAt] = 2;
   client.send(daemon.packetAddress(), data);
@@ -288,6 +291,27 @@
   return {WEXITSTATUS(pclose(output)), text};
 }
 
+TEST_CASE("settings of the own zone's share are checked", "[packetd]") {
+  struct Row {
+    const char* setting;
+    const char* told;
+  };
+  const Row rows[] = {
+      {"locality = \"nearest\"", "adaptive"},
+      {"locality-headroom = 0.5", "locality-headroom"},
+      {"locality-late-from = 1.1", "locality-late-from"},
+      {"local-weight = 1000.0", "local-weight"},
+  };
+  for (const Row& row : rows) {
+    INFO(row.setting);
+    const std::string file = temporaryFile(std::string(row.setting) + "\n");
+    const auto [code, text] = runProgram("--settings " + file);
+    CHECK(code == 2);
+    CHECK(text.find(row.told) != std::string::npos);
+    std::remove(file.c_str());
+  }
+}
+
 TEST_CASE("the command line is as in the other programs", "[packetd]") {
   CHECK(runProgram("--version").first == 0);
   const auto [help_code, help] = runProgram("--help");
