--- a/src/flow/locality_router.cc
+++ b/src/flow/locality_router.cc
@@ -25,8 +25,8 @@
 constexpr double kStandardErrors = 2;
 /** Lateness, as a power of LocalitySettings::late_from, from which two steps are made at once. */
 constexpr double kVeryLatePower = 2.5;
-/** Steps for back ends that are very late: a zone with 130% of its load, others with 10%, is in
- * time again within 3 s, with two steps within 4 s (replay of 20 balancers in a zone). */
+/** Steps for back ends that are very late: with two, a zone whose callers grow to 130% of its slots
+ * is in time again after 11 s, with four after 8 s (replay, 60 balancers in a zone). */
 constexpr int kVeryLateSteps = 4;
 
 }  // namespace
