--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -15,6 +15,13 @@
   return placement;
 }
 
+LocalitySettings localitySettingsOf(const PacketNodeSettings& settings) {
+  LocalitySettings locality = settings.locality;
+  locality.largest_weight = settings.placement.local_weight;
+  locality.largest_bulk_weight = settings.placement.bulk_local_weight;
+  return locality;
+}
+
 }  // namespace
 
 PacketNode::PacketNode(PacketNodeSettings settings, const PlatformLayout& layout,
@@ -34,6 +41,7 @@
       observer_(settings_.observer, time_source),
       silence_(settings_.silence, time_source, log),
       response_times_(settings_.response_times, time_source),
+      locality_(localitySettingsOf(settings_), time_source, log),
       tokens_(settings_.token_key),
       router_(decider_, silence_, observer_, tokens_, sender, *this, log),
       follower_(layout.prefix, settings_.follower, source, scheduler, time_source, random, *this) {
@@ -43,6 +51,7 @@
 
 void PacketNode::connectObservations() {
   placement_.setColdServerLimit(&cold_limit_);
+  placement_.setLocality(&locality_);
   if (settings_.uses.pass_over_suspects) {
     placement_.setSuspicion(&silence_);
   }
@@ -94,6 +103,9 @@
 
 void PacketNode::onResponse(BackendId backend, Duration duration) {
   response_times_.onResponse(backend, duration);
+  if (const Backend* known = decider_.configuration()->backend(backend)) {
+    placement_.onResponse(*known, duration);
+  }
   if (on_response_) {
     on_response_(duration);
   }
@@ -242,6 +254,7 @@
   silence_.retain(configuration);
   response_times_.retain(configuration);
   observer_.retain(configuration);
+  locality_.retain(configuration);
 }
 
 void PacketNode::scheduleComparison() {
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -8,6 +8,7 @@
 #include "config/live_configuration.h"
 #include "flow/backend_load_table.h"
 #include "flow/cold_server_limit.h"
+#include "flow/locality_router.h"
 #include "flow/outlier_detector.h"
 #include "flow/policy/placement_policy.h"
 #include "flow/requests_in_flight.h"
@@ -104,6 +105,12 @@
   /** Sets what tells of back ends that do not answer; they are passed over. */
   void setSuspicion(const BackendSuspicion* suspicion) { suspicion_ = suspicion; }
 
+  /** Sets what finds the own zone's weight; without it, it is the settings' constant. */
+  void setLocality(LocalityRouter* locality) { locality_ = locality; }
+
+  /** Takes data-path evidence of how long a back end took to answer. */
+  void onResponse(const Backend& backend, Duration duration);
+
   /** Takes data-path evidence that a back end works: a caller confirmed a piece of its answer. */
   void onBackendProgress(BackendId backend) { outliers_.onSuccess(backend); }
 
@@ -133,6 +140,12 @@
   }
   void takeOut(const Backend* backend);
   void takeIn(const Backend* backend);
+
+  /** Tells the LocalityRouter what the candidates can take. */
+  void assessLocality(const Service& service, CandidateList& list);
+  LocalityCapacity capacityOf(const CandidateList& list) const;
+  double localWeight(ServiceId service, FlowVolume volume) const;
+  bool isLocal(const Backend& backend) const { return backend.zone == local_zone_; }
   bool isSuspect(const Backend& backend) const {
     return suspicion_ != nullptr && suspicion_->isSuspect(backend.id);
   }
@@ -141,7 +154,7 @@
   bool fits(const Backend& backend, const CandidateList& list) const;
 
   /** Chooses from the list and takes out what does not fit. @return nullptr if nothing is left. */
-  const Backend* choose(CandidateList& list, const FlowId& flow, FlowVolume volume);
+  const Backend* choose(CandidateList& list, const FlowId& flow, double local_weight);
   PlacementRefusal refusalFor(const Service& service, const CandidateList& list);
 
   const PlacementSettings settings_;
@@ -154,6 +167,7 @@
   const BackendSpeed* speed_ = nullptr;
   ColdServerLimit* cold_limit_ = nullptr;
   const RequestsInFlight* in_flight_ = nullptr;
+  LocalityRouter* locality_ = nullptr;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
   std::uint64_t candidates_made_ = 0;
