--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -32,6 +32,8 @@
       decider_(settings_.decider, time_source, placement_, *this),
       observer_(settings_.observer, time_source),
       silence_(settings_.silence, time_source, log),
+      evidence_(settings_.evidence, silence_, time_source, log),
+      reporter_(EvidenceReporterSettings(), settings_.zone, silence_, evidence_, time_source),
       response_times_(settings_.response_times, time_source),
       tokens_(settings_.token_key),
       router_(decider_, silence_, observer_, tokens_, sender, *this, log),
@@ -43,7 +45,9 @@
 void PacketNode::connectObservations() {
   placement_.setColdServerLimit(&cold_limit_);
   if (settings_.uses.pass_over_suspects) {
-    placement_.setSuspicion(&silence_);
+    const BackendSuspicion& own = silence_;
+    const BackendSuspicion& shared = evidence_;
+    placement_.setSuspicion(settings_.uses.share_evidence ? &shared : &own);
   }
   if (settings_.uses.weigh_by_speed) {
     placement_.setSpeed(&response_times_);
@@ -85,6 +89,11 @@
   return {follower_.revision(), follower_.age()};
 }
 
+std::optional<DeathEvidence> PacketNode::deathByOthers(BackendId backend,
+                                                       std::uint16_t repetitions) const {
+  return settings_.uses.share_evidence ? evidence_.deathOf(backend, repetitions) : std::nullopt;
+}
+
 void PacketNode::onHandshake(Duration duration) {
   if (on_handshake_) {
     on_handshake_(duration);
@@ -212,6 +221,10 @@
   ++counters_.configurations_applied;
   const ConfigurationViewPtr configuration = registry_.makeConfiguration();
   silence_.retain(*configuration);
+  if (settings_.uses.share_evidence) {
+    evidence_.setConfiguration(*configuration);
+    reporter_.setConfiguration(*configuration);
+  }
   response_times_.retain(*configuration);
   observer_.retain(*configuration);
   decider_.setConfiguration(configuration);
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -6,6 +6,7 @@
 #include "common/scheduler.h"
 #include "discovery/backend_registry.h"
 #include "discovery/view_follower.h"
+#include "flow/evidence_reporter.h"
 #include "flow/packet_router.h"
 
 namespace lugfork {
@@ -20,6 +21,8 @@
   bool weigh_by_speed = true;
   /** Load is estimated by requests in flight. */
   bool count_in_flight = true;
+  /** What other balancers of the zone have seen of silent servers counts too. */
+  bool share_evidence = false;
 };
 
 /** Who this balancer is and how it behaves. */
@@ -37,6 +40,7 @@
   PlacementSettings placement;
   ObservationUses uses;
   SilenceSettings silence;
+  SharedEvidenceSettings evidence;
   ResponseTimeSettings response_times;
   LoadEstimateSettings load;
   ColdServerLimitSettings cold_servers;
@@ -106,6 +110,13 @@
     on_response_ = std::move(callback);
   }
 
+  /** @return what is believed of silent servers by the word of others, to be fed by an exchange. */
+  SharedEvidence& sharedEvidence() { return evidence_; }
+  const SharedEvidence& sharedEvidence() const { return evidence_; }
+  EvidenceReporter& evidenceReporter() { return reporter_; }
+  /** @return servers that look silent by what this node itself has seen. */
+  std::size_t suspectsBySelf() const { return silence_.observations().size(); }
+
   const PacketCounters& packetCounters() const { return router_.counters(); }
   const PacketNodeCounters& counters() const { return counters_; }
   const ViewFollower& follower() const { return follower_; }
@@ -121,6 +132,8 @@
   bool viewIsFresh() const override;
   bool backendsAreSettled() const override;
   bool resetsDeadFlows() const override { return settings_.uses.reset_dead; }
+  std::optional<DeathEvidence> deathByOthers(BackendId backend,
+                                             std::uint16_t repetitions) const override;
   ViewStamp viewStamp() const override;
   void onHandshake(Duration duration) override;
   void onResponse(BackendId backend, Duration duration) override;
@@ -156,6 +169,8 @@
   FlowDecider decider_;
   FlowObserver observer_;
   SilenceDetector silence_;
+  SharedEvidence evidence_;
+  EvidenceReporter reporter_;
   ResponseTimes response_times_;
   const CompactTokenCodec tokens_;
   PacketRouter router_;
--- /dev/null
+++ b/src/discovery/evidence_exchange.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "common/scheduler.h"
+#include "discovery/evidence_collector.h"
+#include "discovery/peer_directory.h"
+#include "flow/evidence_reporter.h"
+#include "wire/view_transfer_codec.h"
+
+namespace lugfork {
+
+/** Takes the messages about silent servers. */
+class EvidenceReceiver {
+ public:
+  virtual ~EvidenceReceiver() = default;
+  virtual void onReport(const EvidenceReport& report, Endpoint from) = 0;
+  virtual void onDigest(const EvidenceDigest& digest, Endpoint from) = 0;
+};
+
+/** Tunables of an EvidenceExchange. */
+struct EvidenceExchangeSettings {
+  /** Time between looks at what is new; twice this passes from one node's loss to all others. */
+  Duration interval = milliseconds(100);
+  /** Balancers of the own zone that sum: one may fail without a gap. */
+  std::size_t collectors = 2;
+  /** Balancers whose zone is not known yet that get one report; those of other zones answer so. */
+  std::size_t unknown_at_once = 4;
+  /** Time after which a balancer that did not answer a report is left alone, and for how long. */
+  Duration answer_patience = seconds(2);
+  Duration unanswered_for = seconds(5);
+  /** Time for which a balancer's zone is remembered. */
+  Duration zone_lifetime = seconds(60);
+  /** Bytes a second of reports over all collectors, and at once. */
+  double bytes_per_second = 300;
+  double burst_bytes = 600;
+};
+
+/** Counts of an EvidenceExchange. */
+struct EvidenceExchangeCounters {
+  std::uint64_t reports_sent = 0;
+  std::uint64_t digests_received = 0;
+  /** Messages of other zones: they tell nothing that holds here. */
+  std::uint64_t reports_of_other_zones = 0;
+  std::uint64_t digests_of_other_zones = 0;
+};
+
+/**
+ * Carries evidence within a zone: each balancer tells what is new to the strongest of its zone,
+ * which sum it and tell all that reported. Which balancers run in the own zone is learnt from their
+ * answers. Nothing is sent while nothing is silent.
+ */
+class EvidenceExchange : public EvidenceReceiver {
+ public:
+  using Send = std::function<void(Endpoint to, const ViewMessage&)>;
+
+  /**
+   * @param self control address of this balancer.
+   * @param port of the datagrams, the same for all balancers of a fleet.
+   */
+  EvidenceExchange(EvidenceExchangeSettings settings, EvidenceReporter& reporter,
+                   SharedEvidence& shared, PeerDirectory& directory, Endpoint self,
+                   std::uint16_t port, Send send, Scheduler& scheduler,
+                   const TimeSource& time_source, EventLog& log);
+
+  void start();
+
+  void onReport(const EvidenceReport& report, Endpoint from) override;
+  void onDigest(const EvidenceDigest& digest, Endpoint from) override;
+
+  const EvidenceExchangeCounters& counters() const { return counters_; }
+  const EvidenceCollectorCounters& collectorCounters() const { return collector_.counters(); }
+
+ private:
+  /** What is known of another balancer as one that sums. */
+  struct Candidate {
+    /** Last answer; unset for none. */
+    MonotonicTime answered_at;
+    bool is_of_own_zone = false;
+    /** First report since then; unset for none. */
+    MonotonicTime asked_at;
+  };
+
+  void tick();
+  void report();
+  /** @return whom to tell: the strongest of the own zone, and some whose zone is not known. */
+  std::vector<Endpoint> recipients();
+  void forgetOld();
+  bool isSilent(const Candidate& candidate) const;
+  /** @return true for those that did not answer, and those of other zones. */
+  bool isUseless(const Candidate& candidate) const;
+  void refillBytes();
+
+  const EvidenceExchangeSettings settings_;
+  EvidenceReporter& reporter_;
+  SharedEvidence& shared_;
+  PeerDirectory& directory_;
+  const Endpoint self_;
+  const std::uint16_t port_;
+  const Send send_;
+  Scheduler& scheduler_;
+  const TimeSource& time_source_;
+  EvidenceCollector collector_;
+  std::map<Endpoint, Candidate> candidates_;
+  double bytes_left_;
+  MonotonicTime bytes_counted_at_;
+  EvidenceExchangeCounters counters_;
+};
+
+}  // namespace lugfork
--- a/src/explain/story.cc
+++ b/src/explain/story.cc
@@ -10,9 +10,10 @@
 
 /** Events of a node that bear on every flow it handles. */
 const std::set<std::string> kNodeEvents = {
-    "started",         "stopped",        "leaving",           "view_complete",
-    "routes_in_force", "platform_lost",  "platform_regained", "upstream_changed",
-    "reload_refused",  "record_invalid", "backend_id_clash"};
+    "started",          "stopped",        "leaving",           "view_complete",
+    "routes_in_force",  "platform_lost",  "platform_regained", "upstream_changed",
+    "reload_refused",   "record_invalid", "backend_id_clash",  "zones_out_of_reach",
+    "evidence_left_out"};
 
 /** Back ends, by whichever of their two names a line gives. */
 struct BackendNames {
--- /dev/null
+++ b/src/flow/evidence_reporter.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "flow/shared_evidence.h"
+
+namespace lugfork {
+
+/** Bounds of what a node reports. */
+struct EvidenceReporterSettings {
+  /** A server that is silent still is named again after this long, so that it stays believed. */
+  Duration repeat_after = milliseconds(500);
+  /** Shortest time between two signs of life of one server that are told. */
+  Duration life_gap = milliseconds(200);
+  /** Shortest time between two objections to a zone's being suspect, by anybody: half of the time
+   * for which one counts. */
+  Duration objection_gap = milliseconds(500);
+  /** Time within which servers count as in use. */
+  Duration in_use_for = seconds(2);
+};
+
+/** Makes a node's reports: what it has seen since the last one, and nothing where nothing is new.
+ */
+class EvidenceReporter {
+ public:
+  /** @param zone of this node. */
+  EvidenceReporter(EvidenceReporterSettings settings, std::string zone, const SilenceDetector& own,
+                   const SharedEvidence& shared, const TimeSource& time_source);
+
+  /** Sets the zone's id in the configuration in force. */
+  void setConfiguration(const ConfigurationView& configuration);
+
+  /** @return what is new; nothing where that is nothing. */
+  std::optional<EvidenceReport> next();
+
+  const std::string& zone() const { return zone_; }
+
+ private:
+  void addSilent(EvidenceReport& report);
+  void addAlive(EvidenceReport& report);
+  /** Objects to a zone's being out of reach, by one of its servers. */
+  void addAliveZones(EvidenceReport& report);
+  /** @return the zone's server that answered this node last, within the gap; unset for none. */
+  BackendId lastToAnswer(ZoneId zone) const;
+  void addLife(EvidenceReport& report, BackendId backend, MonotonicTime life_at);
+  void addUse(EvidenceReport& report) const;
+  bool isNew(const SilenceObservation& seen) const;
+
+  const EvidenceReporterSettings settings_;
+  const std::string zone_;
+  const SilenceDetector& own_;
+  const SharedEvidence& shared_;
+  const TimeSource& time_source_;
+  std::optional<ZoneId> zone_id_;
+  /** What was reported last of each server that is silent still. */
+  std::unordered_map<BackendId, SilenceObservation> reported_;
+  std::unordered_map<BackendId, MonotonicTime> life_reported_;
+  std::unordered_map<ZoneId, MonotonicTime> objected_at_;
+};
+
+}  // namespace lugfork
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -136,8 +136,33 @@
   }
 }
 
-bool PacketRouter::isSurelyGone(const FlowPacket& packet, const Backend& backend) const {
-  return packet.payload_bytes > 0 && host_.resetsDeadFlows() && silence_.isDead(backend.id);
+bool PacketRouter::isSurelyGone(const FlowPacket& packet, const Backend& backend) {
+  if (packet.payload_bytes == 0 || !host_.resetsDeadFlows()) {
+    return false;
+  }
+  return silence_.isDead(backend.id) || isGoneByOthers(packet, backend);
+}
+
+bool PacketRouter::isGoneByOthers(const FlowPacket& packet, const Backend& backend) {
+  const ObservedFlow* flow = observer_.find(packet.flow());
+  if (flow == nullptr || flow->repetitions == 0) {
+    return false;
+  }
+  const auto evidence = host_.deathByOthers(backend.id, flow->repetitions);
+  if (!evidence) {
+    return false;
+  }
+  ++counters_.resets_by_others;
+  log_.write(LogLevel::Info, "flow", "backend_dead_by_others",
+             {{"flow", flowName(packet)},
+              {"backend", backend.name},
+              {"backend_id", backend.id.value()},
+              {"scope", evidence->is_whole_zone ? "zone" : "server"},
+              {"repetitions", static_cast<std::uint32_t>(flow->repetitions)},
+              {"reporters", static_cast<std::uint64_t>(evidence->reporters)},
+              {"silent_flows", static_cast<std::uint64_t>(evidence->flows)},
+              {"silent_ms", toMilliseconds(evidence->silent_for)}});
+  return true;
 }
 
 void PacketRouter::reset(const FlowPacket& packet, Reason reason) {
--- a/src/flow/packet_router.h
+++ b/src/flow/packet_router.h
@@ -7,6 +7,7 @@
 #include "flow/flow_decider.h"
 #include "flow/flow_observer.h"
 #include "flow/flow_packet.h"
+#include "flow/shared_evidence.h"
 #include "flow/silence_detector.h"
 
 namespace lugfork {
@@ -22,6 +23,8 @@
   /** Openings that were neither placed nor refused, because this node is not certain. */
   std::uint64_t drops_not_certain = 0;
   std::array<std::uint64_t, kReasonCount> resets_by_reason{};
+  /** Open flows reset by what others have seen of their back ends. */
+  std::uint64_t resets_by_others = 0;
 };
 
 /** Which state of the platform a decision was made by. */
@@ -44,6 +47,15 @@
   /** @return true where open flows of a back end that is surely dead are to be reset. */
   virtual bool resetsDeadFlows() const = 0;
 
+  /**
+   * @param repetitions of a flow of the back end since its last progress.
+   * @return why the back end is surely dead by what others have seen, or nothing.
+   */
+  virtual std::optional<DeathEvidence> deathByOthers(BackendId /*backend*/,
+                                                     std::uint16_t /*repetitions*/) const {
+    return std::nullopt;
+  }
+
   /** @return which state of the platform this node knows, for logs. */
   virtual ViewStamp viewStamp() const = 0;
 
@@ -82,7 +94,9 @@
   void learn(const FlowPacket& packet, BackendId backend);
 
   /** @return true where the back end of an open flow surely does not answer any more. */
-  bool isSurelyGone(const FlowPacket& packet, const Backend& backend) const;
+  bool isSurelyGone(const FlowPacket& packet, const Backend& backend);
+  /** The same by what others have seen, which is logged. */
+  bool isGoneByOthers(const FlowPacket& packet, const Backend& backend);
 
   FlowDecider& decider_;
   SilenceDetector& silence_;
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -153,6 +153,18 @@
   return never_made || time_source_.monotonicTime() - list.made_at > lifetime;
 }
 
+void PlacementEngine::leaveOutOfReach(std::vector<const Backend*>& backends) const {
+  if (suspicion_ == nullptr) {
+    return;
+  }
+  const auto is_reachable = [this](const Backend* backend) {
+    return !suspicion_->isOutOfReach(backend->id);
+  };
+  if (std::any_of(backends.begin(), backends.end(), is_reachable)) {
+    std::erase_if(backends, [&](const Backend* backend) { return !is_reachable(backend); });
+  }
+}
+
 void PlacementEngine::makeCandidates(const Service& service, CandidateList& list) {
   list.made_at = time_source_.monotonicTime();
   list.backends.clear();
@@ -162,9 +174,12 @@
     if (!service.allowsZone(backend->zone) || loads_.isLeaving(*backend)) {
       continue;
     }
+    list.backends.push_back(backend);
+  }
+  leaveOutOfReach(list.backends);
+  for (const Backend* backend : list.backends) {
     reachable += loads_.looksReachable(*backend) ? 1 : 0;
     suspects += isSuspect(*backend) ? 1 : 0;
-    list.backends.push_back(backend);
   }
   loads_.refreshService(service.id, list.backends);
   list.ignore_reachability = static_cast<double>(reachable) <
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -55,6 +55,9 @@
 
   /** @return true where the back end does not seem to answer now. */
   virtual bool isSuspect(BackendId backend) const = 0;
+
+  /** @return true where its whole zone can't be reached from here, while others can. */
+  virtual bool isOutOfReach(BackendId /*backend*/) const { return false; }
 };
 
 /**
@@ -121,6 +124,8 @@
   CandidateList& candidatesOf(const Service& service);
   void makeCandidates(const Service& service, CandidateList& list);
   bool isStale(const CandidateList& list) const;
+  /** Leaves out back ends in zones that can't be reached, unless none would be left. */
+  void leaveOutOfReach(std::vector<const Backend*>& backends) const;
   bool isSuspect(const Backend& backend) const {
     return suspicion_ != nullptr && suspicion_->isSuspect(backend.id);
   }
--- /dev/null
+++ b/src/flow/shared_evidence.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+#include "common/event_log.h"
+#include "flow/silence_detector.h"
+#include "wire/evidence_messages.h"
+
+namespace lugfork {
+
+/** Bounds within which a node believes what others have seen. */
+struct SharedEvidenceSettings {
+  /** Time after the last unanswered attempt for which it counts: callers give up after some 2 s. */
+  Duration fresh_for = milliseconds(1500);
+  /** Different balancers that must name a back end: one alone may be cut off or overloaded. */
+  std::size_t reporters_needed = 2;
+  /** Largest share of a service that others' word takes out; above it none of it counts. */
+  double max_share = 0.5;
+  /** Flows, over all reporters, that must repeat themselves before a back end is taken for dead. */
+  std::size_t flows_of_dead = 3;
+  /** Shortest time without a sign of life to anybody before a back end is taken for dead. */
+  Duration dead_after = milliseconds(500);
+  /** Time that others have to object before open flows are reset: two rounds of reports. */
+  Duration objection_time = milliseconds(250);
+  /** Silent servers of one zone that make all of it suspect. */
+  std::size_t servers_of_zone = 3;
+  /** Shortest time without any sign of life from a zone before all of it is suspect. */
+  Duration zone_silence = milliseconds(300);
+  /** Time for which another's word that a zone answers keeps it from being suspect. */
+  Duration objection_lifetime = seconds(1);
+};
+
+/** What a node believes of a back end by the word of others. */
+struct ToldSilence {
+  std::size_t reporters = 0;
+  std::size_t flows = 0;
+  std::uint16_t repetitions = 0;
+  MonotonicTime attempt_at;
+  MonotonicTime first_told_at;
+};
+
+/** Why a back end is taken for dead, for logs. */
+struct DeathEvidence {
+  bool is_whole_zone = false;
+  std::size_t reporters = 0;
+  std::size_t flows = 0;
+  /** Time without a sign of life to anybody of the zone; zero where none is known. */
+  Duration silent_for{};
+};
+
+/**
+ * Joins what this node has seen of silent back ends with what the balancers of its zone have seen
+ * together. Others' word counts while it is fresh, from several of them, for a bounded share of a
+ * service, and until anybody gets an answer.
+ */
+class SharedEvidence : public BackendSuspicion {
+ public:
+  SharedEvidence(SharedEvidenceSettings settings, const SilenceDetector& own,
+                 const TimeSource& time_source, EventLog& log)
+      : settings_(settings), own_(own), time_source_(time_source), log_(log) {}
+
+  void setConfiguration(const ConfigurationView& configuration);
+
+  /** Takes what a balancer of the own zone has summed. */
+  void onDigest(const EvidenceDigest& digest);
+
+  /** Weighs the evidence anew; to be called after each digest and several times a second. */
+  void refresh();
+
+  bool isSuspect(BackendId backend) const override;
+  bool isOutOfReach(BackendId backend) const override;
+
+  /**
+   * @param repetitions of the flow at hand, which must not have been answered itself.
+   * @return why the back end of an open flow is surely dead by the word of others, or nothing.
+   */
+  std::optional<DeathEvidence> deathOf(BackendId backend, std::uint16_t repetitions) const;
+
+  /** @return the back ends of which others tell that they are silent. */
+  const std::unordered_map<BackendId, ToldSilence>& told() const { return told_; }
+
+  /** @return the zone of a back end that is known, or nothing. */
+  std::optional<ZoneId> zoneOf(BackendId backend) const;
+
+  /** @return zones of which others tell so many silent servers that all of it may be cut off. */
+  std::set<ZoneId> zonesInDoubt() const;
+
+  /** @return when another last told that a server of the zone answers; unset for never. */
+  MonotonicTime objectedAt(ZoneId zone) const;
+
+  std::size_t suspectsByOthers() const { return believed_.size(); }
+  std::size_t zonesOutOfReach() const { return zones_out_.size(); }
+
+ private:
+  struct KnownBackend {
+    ZoneId zone;
+    ServiceId service;
+  };
+
+  MonotonicTime lifeOf(BackendId backend) const;
+  bool isFresh(MonotonicTime attempt_at) const;
+  /** @return true where nobody has got an answer since the last unanswered attempt. */
+  bool isUnanswered(BackendId backend, const ToldSilence& told) const;
+  void forgetOld();
+  void believe();
+  void believeZones();
+  std::string namesOf(const std::map<ZoneId, MonotonicTime>& zones) const;
+  std::optional<DeathEvidence> deathOfZone(BackendId backend, std::uint16_t repetitions) const;
+  std::optional<DeathEvidence> deathOfServer(BackendId backend, std::uint16_t repetitions) const;
+  std::uint16_t repetitionsNeeded() const;
+  /** @return true where enough speaks for it that none of the zone's servers can be reached. */
+  bool isZoneSilent(ZoneId zone) const;
+  MonotonicTime lastLifeIn(ZoneId zone) const;
+  bool otherZoneAnswers(ZoneId zone) const;
+
+  const SharedEvidenceSettings settings_;
+  const SilenceDetector& own_;
+  const TimeSource& time_source_;
+  EventLog& log_;
+  std::unordered_map<BackendId, KnownBackend> backends_;
+  std::unordered_map<ServiceId, std::size_t> service_sizes_;
+  std::unordered_map<ZoneId, std::string> zone_names_;
+  std::unordered_map<BackendId, ToldSilence> told_;
+  /** Last signs of life that others told. */
+  std::unordered_map<BackendId, MonotonicTime> told_life_;
+  std::unordered_map<ZoneId, MonotonicTime> objections_;
+  std::uint16_t told_survived_ = 0;
+  MonotonicTime told_survived_at_;
+  std::set<BackendId> believed_;
+  /** Zones that can't be reached, and since when that is believed. */
+  std::map<ZoneId, MonotonicTime> zones_out_;
+};
+
+/** @return the age as messages carry it; of a time that is unset, that it never was. */
+std::uint16_t toWireAge(MonotonicTime now, MonotonicTime time);
+
+/** @return the time that an age in a message stands for; unset where it never was. */
+MonotonicTime fromWireAge(MonotonicTime now, std::uint16_t age_ms);
+
+}  // namespace lugfork
--- a/src/flow/silence_detector.cc
+++ b/src/flow/silence_detector.cc
@@ -37,6 +37,7 @@
   }
   record = Record();
   record.life_at = now;
+  record.has_shown_life = true;
   const bool forgotten = now - survived_at_ > settings_.slow_memory;
   if (repetitions > 0 && (forgotten || repetitions >= survived_repetitions_)) {
     survived_repetitions_ = repetitions;
@@ -44,10 +45,13 @@
   }
 }
 
-std::uint16_t SilenceDetector::repetitionsOfDead() const {
+std::uint16_t SilenceDetector::survivedRepetitions() const {
   const bool remembered = time_source_.monotonicTime() - survived_at_ <= settings_.slow_memory;
-  const std::uint16_t survived = remembered ? survived_repetitions_ : std::uint16_t{0};
-  return std::max<std::uint16_t>(settings_.repetitions_of_dead, survived + 1);
+  return remembered ? survived_repetitions_ : std::uint16_t{0};
+}
+
+std::uint16_t SilenceDetector::repetitionsOfDead() const {
+  return std::max<std::uint16_t>(settings_.repetitions_of_dead, survivedRepetitions() + 1);
 }
 
 void SilenceDetector::onRepetition(BackendId backend, const FlowId& flow,
@@ -57,17 +61,59 @@
 
 bool SilenceDetector::isSuspect(BackendId backend) const {
   const Record* record = find(backend);
-  if (record == nullptr) {
-    return false;
-  }
-  const MonotonicTime now = time_source_.monotonicTime();
-  const Duration opening_age = now - record->opening_at;
-  const bool opening_unanswered = record->opening_at != MonotonicTime() &&
-                                  opening_age > settings_.handshake_timeout &&
-                                  opening_age <= settings_.suspicion;
+  return record != nullptr && isSilent(*record);
+}
+
+bool SilenceDetector::hasUnansweredOpening(const Record& record) const {
+  const Duration opening_age = time_source_.monotonicTime() - record.opening_at;
+  return record.opening_at != MonotonicTime() && opening_age > settings_.handshake_timeout &&
+         opening_age <= settings_.suspicion;
+}
+
+bool SilenceDetector::isSilent(const Record& record) const {
+  const Duration repetition_age = time_source_.monotonicTime() - record.repeated_at;
   const bool repeated_lately =
-      record->repeated_at != MonotonicTime() && now - record->repeated_at <= settings_.suspicion;
-  return opening_unanswered || repeated_lately;
+      record.repeated_at != MonotonicTime() && repetition_age <= settings_.suspicion;
+  return repeated_lately || hasUnansweredOpening(record);
+}
+
+std::vector<SilenceObservation> SilenceDetector::observations() const {
+  const MonotonicTime earliest = time_source_.monotonicTime() - settings_.memory;
+  std::vector<SilenceObservation> observations;
+  for (const auto& [backend, record] : records_) {
+    if (!isSilent(record)) {
+      continue;
+    }
+    SilenceObservation& seen = observations.emplace_back();
+    seen.backend = backend;
+    seen.life_at = record.has_shown_life ? record.life_at : MonotonicTime();
+    seen.attempt_at = hasUnansweredOpening(record) ? record.opening_at : MonotonicTime();
+    for (const SilentFlow& silent : record.silent_flows) {
+      if (silent.repeated_at >= earliest) {
+        ++seen.flows;
+        seen.repetitions = std::max(seen.repetitions, silent.repetitions);
+        seen.attempt_at = std::max(seen.attempt_at, silent.repeated_at);
+      }
+    }
+    seen.flows = std::max<std::size_t>(seen.flows, 1);
+  }
+  return observations;
+}
+
+MonotonicTime SilenceDetector::lifeAt(BackendId backend) const {
+  const Record* record = find(backend);
+  return record != nullptr && record->has_shown_life ? record->life_at : MonotonicTime();
+}
+
+std::vector<BackendId> SilenceDetector::usedWithin(Duration time) const {
+  const MonotonicTime earliest = time_source_.monotonicTime() - time;
+  std::vector<BackendId> used;
+  for (const auto& [backend, record] : records_) {
+    if (record.life_at >= earliest || isSilent(record)) {
+      used.push_back(backend);
+    }
+  }
+  return used;
 }
 
 bool SilenceDetector::isDead(BackendId backend) const {
--- a/src/flow/silence_detector.h
+++ b/src/flow/silence_detector.h
@@ -33,6 +33,19 @@
   double max_silent_share = 0.34;
 };
 
+/** What a node itself has seen of a back end that does not answer it. */
+struct SilenceObservation {
+  BackendId backend;
+  /** Flows that went unanswered since the last sign of life. */
+  std::size_t flows = 0;
+  /** Most repetitions of one of them. */
+  std::uint16_t repetitions = 0;
+  /** Last unanswered attempt. */
+  MonotonicTime attempt_at;
+  /** Last sign of life; unset for none. */
+  MonotonicTime life_at;
+};
+
 /**
  * Learns which back ends have fallen silent from what their callers send, long before the platform
  * tells. Suspected back ends get no new flows; for dead ones open flows are reset, so that callers
@@ -68,6 +81,21 @@
   /** Forgets back ends that are not known any more. */
   void retain(const ConfigurationView& configuration);
 
+  /** @return what was seen of the back ends that look silent now. */
+  std::vector<SilenceObservation> observations() const;
+
+  /** @return the last sign of life of the back end; unset for none. */
+  MonotonicTime lifeAt(BackendId backend) const;
+
+  /** @return the back ends that were used within the time. */
+  std::vector<BackendId> usedWithin(Duration time) const;
+
+  /** @return most repetitions after which a back end still answered lately. */
+  std::uint16_t survivedRepetitions() const;
+
+  /** @return repetitions of a flow that show more than a slow answer. */
+  std::uint16_t repetitionsOfDead() const;
+
  private:
   /** A flow that repeated itself since the last sign of life. */
   struct SilentFlow {
@@ -77,7 +105,9 @@
   };
 
   struct Record {
+    /** Last sign of life; the first packet where there was none. */
     MonotonicTime life_at;
+    bool has_shown_life = false;
     /** First opening since the last sign of life; unset for none. */
     MonotonicTime opening_at;
     /** Last repetition since the last sign of life; unset for none. */
@@ -96,7 +126,8 @@
   bool manyLookSilent() const;
   /** Logs a change of what is believed of the back end, once until its next sign of life. */
   void tellBelief(BackendId backend, Record& record, std::string_view cause);
-  std::uint16_t repetitionsOfDead() const;
+  bool hasUnansweredOpening(const Record& record) const;
+  bool isSilent(const Record& record) const;
 
   const SilenceSettings settings_;
   const TimeSource& time_source_;
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -74,6 +74,7 @@
   split_store_.setKnownKeys(
       [this](const std::string& prefix) { return node_.follower().view().keysUnder(prefix); });
   connectPeers();
+  connectEvidence();
   store_.setTimeCallback([this](Duration duration) { metrics_.onStoreRead(duration); });
   node_.setResponseCallback([this](Duration duration) { metrics_.onResponse(duration); });
   node_.setHandshakeCallback([this](Duration duration) { metrics_.onHandshake(duration); });
@@ -130,6 +131,18 @@
   node_.setCaughtUpCallback([this] { provider_->onViewReady(); });
 }
 
+void PacketDaemon::connectEvidence() {
+  if (peer_socket_ == nullptr || !settings_.node.uses.share_evidence) {
+    return;
+  }
+  evidence_exchange_ = std::make_unique<EvidenceExchange>(
+      settings_.evidence, node_.evidenceReporter(), node_.sharedEvidence(), directory_,
+      settings_.control_address, peer_socket_->port(),
+      [this](Endpoint to, const ViewMessage& message) { peer_socket_->send(to, message); },
+      scheduler_, time_source_, log_);
+  peer_socket_->setEvidenceReceiver(evidence_exchange_.get());
+}
+
 void PacketDaemon::startServers() {
   ready_server_ = std::make_unique<HttpServer>(
       settings_.ready_address,
@@ -154,6 +167,9 @@
   if (peer_exchange_ != nullptr) {
     peer_exchange_->start();
   }
+  if (evidence_exchange_ != nullptr) {
+    evidence_exchange_->start();
+  }
   io_context_.run();
   closeWhileServing(io_context_, ready_server_);
   log_.write(LogLevel::Info, "daemon", "stopped",
@@ -265,9 +281,10 @@
     return problemResponse(kHttpNotFound, "no such resource");
   }
   return callOnLoop(io_context_, [&] {
-    return plainText(kHttpOk, metrics_.render({node_, counters_, source_, hedged_store_.hedges(),
-                                               provider_.get(), view_client_.get(),
-                                               peer_socket_.get(), log_.suppressed()}));
+    return plainText(kHttpOk,
+                     metrics_.render({node_, counters_, source_, hedged_store_.hedges(),
+                                      provider_.get(), view_client_.get(), peer_socket_.get(),
+                                      log_.suppressed(), evidence_exchange_.get()}));
   });
 }
 
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -8,6 +8,7 @@
 
 #include "balancer/packet_node.h"
 #include "common/bounded_event_log.h"
+#include "discovery/evidence_exchange.h"
 #include "discovery/hedged_reads.h"
 #include "discovery/peer_exchange.h"
 #include "discovery/split_feed_source.h"
@@ -44,6 +45,7 @@
   Endpoint peer_address;
   ViewClientSettings view_client;
   ViewProviderSettings provider;
+  EvidenceExchangeSettings evidence;
   UpstreamSettings upstream;
   UpstreamSourceSettings source;
   HedgedReadSettings hedged_reads;
@@ -85,6 +87,7 @@
   std::unique_ptr<UdpPeerSocket> makePeerSocket();
   std::unique_ptr<ViewClient> makeViewClient();
   void connectPeers();
+  void connectEvidence();
   void onDatagram(std::span<const std::uint8_t> bytes, Endpoint from);
   void awaitSignal();
   void onSignal(int signal);
@@ -117,6 +120,8 @@
   std::unique_ptr<ViewProvider> provider_;
   UpstreamSource source_;
   PacketNode node_;
+  /** Null where this balancer knows no other, or shares no evidence. */
+  std::unique_ptr<EvidenceExchange> evidence_exchange_;
   UdpEndpoint socket_;
   boost::asio::signal_set signals_;
   LeaveTimer leave_timer_;
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -112,6 +112,32 @@
              "Views of other balancers that could not be read.", client.malformedBodies());
 }
 
+void addEvidence(prometheus::Registry& registry, const PacketNode& node,
+                 const EvidenceExchange& exchange) {
+  const EvidenceExchangeCounters& counters = exchange.counters();
+  const EvidenceCollectorCounters& summed = exchange.collectorCounters();
+  const char* help = "Messages between balancers about silent servers.";
+  const auto addMessages = [&](const char* kind, std::uint64_t count) {
+    addCounter(registry, "lugfork_evidence_messages_total", help, count, {{"kind", kind}});
+  };
+  addMessages("report_sent", counters.reports_sent);
+  addMessages("report_received", summed.reports);
+  addMessages("report_left_out", summed.reports_left_out);
+  addMessages("report_of_other_zone", counters.reports_of_other_zones);
+  addMessages("digest_sent", summed.digests);
+  addMessages("digest_received", counters.digests_received);
+  addMessages("digest_of_other_zone", counters.digests_of_other_zones);
+  addGauge(registry, "lugfork_suspect_servers", "Servers that look silent, by who has seen it.",
+           static_cast<double>(node.suspectsBySelf()), {{"seen_by", "self"}});
+  addGauge(registry, "lugfork_suspect_servers", "Servers that look silent, by who has seen it.",
+           static_cast<double>(node.sharedEvidence().suspectsByOthers()), {{"seen_by", "others"}});
+  addGauge(registry, "lugfork_zones_out_of_reach", "Zones none of whose servers can be reached.",
+           static_cast<double>(node.sharedEvidence().zonesOutOfReach()));
+  addCounter(registry, "lugfork_resets_by_others_total",
+             "Open flows reset by what other balancers have seen.",
+             node.packetCounters().resets_by_others);
+}
+
 }  // namespace
 
 PacketMetrics::PacketMetrics()
@@ -139,6 +165,9 @@
   if (figures.peer_socket != nullptr && figures.view_client != nullptr) {
     addPeerSocket(registry, *figures.peer_socket, *figures.view_client);
   }
+  if (figures.evidence != nullptr) {
+    addEvidence(registry, node, *figures.evidence);
+  }
   addCounter(registry, "lugfork_platform_records_invalid_total", "Items that can't be read.",
              node.counters().records_invalid);
   addCounter(registry, "lugfork_log_lines_left_out_total", "Log lines left out by the limit.",
--- a/src/runtime/packet_metrics.h
+++ b/src/runtime/packet_metrics.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "balancer/packet_node.h"
+#include "discovery/evidence_exchange.h"
 #include "discovery/upstream_source.h"
 #include "flow/packet_codec.h"
 #include "runtime/udp_peer_socket.h"
@@ -30,6 +31,8 @@
   const ViewClient* view_client = nullptr;
   const UdpPeerSocket* peer_socket = nullptr;
   std::uint64_t log_lines_left_out = 0;
+  /** Unset where the node shares no evidence of silent servers. */
+  const EvidenceExchange* evidence = nullptr;
 };
 
 /** Latency histograms that are filled while the node runs, and the page with all figures. */
--- a/src/runtime/udp_peer_socket.cc
+++ b/src/runtime/udp_peer_socket.cc
@@ -22,6 +22,7 @@
   const auto message = decodeViewMessage(bytes, key_);
   if (message) {
     dispatch(message.value(), from);
+    dispatchEvidence(message.value(), from);
     return;
   }
   ++refused_;
@@ -30,6 +31,17 @@
   }
 }
 
+void UdpPeerSocket::dispatchEvidence(const ViewMessage& message, Endpoint from) {
+  if (evidence_ == nullptr) {
+    return;
+  }
+  if (const auto* report = std::get_if<EvidenceReport>(&message)) {
+    evidence_->onReport(*report, from);
+  } else if (const auto* digest = std::get_if<EvidenceDigest>(&message)) {
+    evidence_->onDigest(*digest, from);
+  }
+}
+
 void UdpPeerSocket::dispatch(const ViewMessage& message, Endpoint from) {
   if (client_ == nullptr || provider_ == nullptr) {
     return;
--- a/src/runtime/udp_peer_socket.h
+++ b/src/runtime/udp_peer_socket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "discovery/evidence_exchange.h"
 #include "discovery/view_client.h"
 #include "discovery/view_provider.h"
 #include "runtime/udp_endpoint.h"
@@ -17,6 +18,8 @@
 
   /** Sets who takes messages; both must outlive this socket's event loop. */
   void setReceivers(ViewClient* client, ViewProvider* provider);
+  /** Sets who takes messages about silent servers; without one they are passed over. */
+  void setEvidenceReceiver(EvidenceReceiver* receiver) { evidence_ = receiver; }
   void setRefusalCallback(RefusalCallback callback) { on_refused_ = std::move(callback); }
 
   void send(Endpoint to, const ViewMessage& message);
@@ -28,11 +31,13 @@
 
  private:
   void onDatagram(std::span<const std::uint8_t> bytes, Endpoint from);
+  void dispatchEvidence(const ViewMessage& message, Endpoint from);
   void dispatch(const ViewMessage& message, Endpoint from);
 
   const PeerKey key_;
   ViewClient* client_ = nullptr;
   ViewProvider* provider_ = nullptr;
+  EvidenceReceiver* evidence_ = nullptr;
   RefusalCallback on_refused_;
   std::uint64_t refused_ = 0;
   UdpEndpoint socket_;
--- /dev/null
+++ b/src/wire/evidence_messages.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "common/ids.h"
+
+/** What balancers of one zone tell each other of servers that do not answer. */
+namespace lugfork {
+
+/** Age of something that never was [ms]. */
+inline constexpr std::uint16_t kNeverMilliseconds = 0xffff;
+/** Servers in one message at most: with its headers it stays under half a kilobyte. */
+inline constexpr std::size_t kMaxServersInEvidence = 24;
+
+/** What one balancer has seen of a server that does not answer it. */
+struct ServerSilence {
+  BackendId backend;
+  /** Flows that went unanswered since its last sign of life. */
+  std::uint8_t flows = 0;
+  /** Most repetitions of one of them. */
+  std::uint8_t repetitions = 0;
+  /** Age of the last unanswered attempt [ms]. */
+  std::uint16_t attempt_age_ms = 0;
+  /** Age of the last sign of life [ms]. */
+  std::uint16_t life_age_ms = kNeverMilliseconds;
+  auto fields() { return std::tie(backend, flows, repetitions, attempt_age_ms, life_age_ms); }
+  bool operator==(const ServerSilence&) const = default;
+};
+
+/** A server that answers. */
+struct ServerLife {
+  BackendId backend;
+  /** Age of the sign of life [ms]. */
+  std::uint16_t age_ms = 0;
+  auto fields() { return std::tie(backend, age_ms); }
+  bool operator==(const ServerLife&) const = default;
+};
+
+/** One balancer's observations, told to the strongest of its zone. */
+struct EvidenceReport {
+  /** Zone of who reports: its observations hold for that zone only. */
+  std::string zone;
+  /** Servers near the reporter that it has used lately, and how many of these do not answer it. */
+  std::uint16_t servers_in_use = 0;
+  std::uint16_t servers_silent = 0;
+  /** Most repetitions after which a server still answered lately. */
+  std::uint8_t survived_repetitions = 0;
+  std::vector<ServerSilence> silent;
+  std::vector<ServerLife> alive;
+  auto fields() {
+    return std::tie(zone, servers_in_use, servers_silent, survived_repetitions, silent, alive);
+  }
+};
+
+/** What a zone's balancers have seen of a server, summed. */
+struct SummedSilence {
+  /** Different balancers that got no answer. */
+  std::uint8_t reporters = 0;
+  /** Flows and last attempt over all, most repetitions, last sign of life to any. */
+  ServerSilence seen;
+  auto fields() { return std::tie(reporters, seen); }
+  bool operator==(const SummedSilence&) const = default;
+};
+
+/** What the balancers of a zone have seen together, told to those that report. */
+struct EvidenceDigest {
+  /** Zone of who sums: whoever runs in another has asked the wrong one. */
+  std::string zone;
+  std::uint8_t survived_repetitions = 0;
+  std::vector<SummedSilence> silent;
+  std::vector<ServerLife> alive;
+  auto fields() { return std::tie(zone, survived_repetitions, silent, alive); }
+};
+
+}  // namespace lugfork
--- a/src/wire/view_transfer_codec.h
+++ b/src/wire/view_transfer_codec.h
@@ -9,6 +9,7 @@
 #include "discovery/peer_client.h"
 #include "wire/codec_error.h"
 #include "wire/datagram.h"
+#include "wire/evidence_messages.h"
 
 /**
  * Datagrams in which balancers hand each other their views: a msgpack body and behind it a tag over
@@ -84,7 +85,8 @@
   auto fields() { return std::tie(request, peers); }
 };
 
-using ViewMessage = std::variant<ViewRequest, ViewPart, ViewRefusal, PeersRequest, PeersReply>;
+using ViewMessage = std::variant<ViewRequest, ViewPart, ViewRefusal, PeersRequest, PeersReply,
+                                 EvidenceReport, EvidenceDigest>;
 
 /** What is compressed and cut into parts. */
 struct ViewBody {
--- a/tests/explain/story_test.cc
+++ b/tests/explain/story_test.cc
@@ -102,6 +102,26 @@
   CHECK(tellStory(lines, {"", "i-1", 0}).lines.size() == 2);
 }
 
+TEST_CASE("the evidence behind a reset and a server that was passed over is told", "[explain]") {
+  const auto lines = parse({
+      placed("02.000", "n1"),
+      lineText("02.300", "n1", "backend_suspected_by_others", R"(,"backend_id":9,"reporters":3)"),
+      lineText("02.350", "n1", "backend_suspected_by_others", R"(,"backend_id":8,"reporters":2)"),
+      lineText("02.400", "n1", "zones_out_of_reach", R"(,"zones":"manta")"),
+      lineText("02.400", "n4", "zones_out_of_reach", R"(,"zones":"manta")"),
+      lineText("02.600", "n1", "backend_dead_by_others",
+               R"(,"flow":")" + kFlow + R"(","backend_id":9,"reporters":3,"silent_flows":5)"),
+      lineText("02.600", "n1", "flow_reset",
+               R"(,"flow":")" + kFlow + R"(","reason":"backend_gone","backend_id":9)"),
+  });
+  const Story story = tellStory(lines, {kFlow, "", 10000});
+  CHECK(eventsOf(story) == std::vector<std::string>{"n1 flow_placed",
+                                                    "n1 backend_suspected_by_others",
+                                                    "n1 zones_out_of_reach",
+                                                    "n1 backend_dead_by_others", "n1 flow_reset"});
+  CHECK(story.lines[1].line.number("reporters") == 3U);
+}
+
 TEST_CASE("a clock that is off does not turn the order of events round", "[explain]") {
   std::vector<std::string> texts;
   for (int revision = 1; revision <= 3; ++revision) {
--- a/tests/flow/packet_router_test.cc
+++ b/tests/flow/packet_router_test.cc
@@ -38,6 +38,11 @@
   ViewStamp viewStamp() const override { return {12, milliseconds(30)}; }
   void onHandshake(Duration duration) override { handshakes.push_back(duration); }
   void onResponse(BackendId, Duration duration) override { responses.push_back(duration); }
+  std::optional<DeathEvidence> deathByOthers(BackendId backend,
+                                             std::uint16_t repetitions) const override {
+    const bool is_dead = backend == dead_by_others && repetitions >= 2;
+    return is_dead ? std::optional(DeathEvidence{false, 3, 4, milliseconds(700)}) : std::nullopt;
+  }
 
   FlowPacket packet(std::uint16_t port, Endpoint service = kListen) const {
     FlowPacket packet;
@@ -82,6 +87,7 @@
   Reason blocked_by = Reason::None;
   bool fresh = true;
   bool settled = true;
+  BackendId dead_by_others;
   std::vector<Sent> sent;
   std::vector<FlowPacket> resets;
   std::vector<Duration> handshakes;
@@ -351,6 +357,38 @@
   CHECK(harness.resets.empty());
 }
 
+TEST_CASE("a flow that repeats itself is reset where others tell that its back end is dead",
+          "[packet_router]") {
+  PacketHarness harness;
+  harness.setConfiguration(manyBackends());
+  const auto opened = harness.open(5000);
+  harness.data(5000, opened.token, 1001, 1);
+  harness.dead_by_others = opened.backend;
+  harness.time.elapsed += milliseconds(200);
+  SECTION("one that goes on is not") {
+    harness.data(5000, opened.token, 1101, 100);
+    CHECK(harness.resets.empty());
+    return;
+  }
+  harness.data(5000, opened.token, 1001, 1);
+  CHECK(harness.resets.empty());
+  harness.time.elapsed += milliseconds(400);
+  SECTION("one that is answered meanwhile is not") {
+    harness.data(5000, opened.token, 1101, 100);
+    CHECK(harness.resets.empty());
+    return;
+  }
+  SECTION("one of another back end is not") {
+    harness.dead_by_others = BackendId(opened.backend.value() % 20 + 1);
+    harness.data(5000, opened.token, 1001, 1);
+    CHECK(harness.resets.empty());
+    return;
+  }
+  harness.data(5000, opened.token, 1001, 1);
+  CHECK(harness.resets.size() == 1);
+  CHECK(harness.router.counters().resets_by_others == 1);
+}
+
 TEST_CASE("an answer is timed from the first packet of its request", "[packet_router]") {
   PacketHarness harness;
   const CompactToken token = harness.open(1).token;
--- /dev/null
+++ b/tests/flow/zone_out_of_reach_test.cc
@@ -0,0 +1,58 @@
+#include <catch2/catch.hpp>
+
+#include "flow/evidence_fixture.h"
+#include "flow/placement_engine.h"
+
+namespace lugfork {
+namespace {
+
+/** Zones that can't be reached, as the test says. */
+struct FakeSuspicion : BackendSuspicion {
+  bool isSuspect(BackendId backend) const override { return isOutOfReach(backend); }
+  bool isOutOfReach(BackendId backend) const override { return backend.value() > last_in_reach; }
+  std::uint32_t last_in_reach = 30;
+};
+
+struct Harness {
+  Harness() {
+    engine.setConfiguration(view);
+    engine.setSuspicion(&suspicion);
+  }
+
+  /** @return the highest id among the back ends of many placements. */
+  std::uint32_t highestPlaced() {
+    std::uint32_t highest = 0;
+    for (int flow = 0; flow < 500; ++flow) {
+      time.elapsed += milliseconds(300);
+      const auto placed = engine.place(*view->service(ServiceId(1)), FlowId{1, ++flows});
+      REQUIRE(placed);
+      highest = std::max(highest, placed.value()->id.value());
+    }
+    return highest;
+  }
+
+  ManualTimeSource time;
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(3);
+  BackendLoadTable loads{LoadEstimateSettings(), time};
+  FakeSuspicion suspicion;
+  ConfigurationViewPtr view = viewOf(threeZones());
+  PlacementEngine engine{PlacementSettings(), makePlacementPolicy("bounded_rendezvous"), loads,
+                         time, *random};
+  std::uint64_t flows = 0;
+};
+
+TEST_CASE("zones out of reach get no new flow, however many they are", "[placement]") {
+  Harness harness;
+  // Two of three zones: above the panic threshold, which would take them back in.
+  harness.suspicion.last_in_reach = kServersInZone;
+  CHECK(harness.highestPlaced() <= kServersInZone);
+}
+
+TEST_CASE("where no zone is in reach flows are placed as if all were", "[placement]") {
+  Harness harness;
+  harness.suspicion.last_in_reach = 0;
+  CHECK(harness.highestPlaced() > 2 * kServersInZone);
+}
+
+}  // namespace
+}  // namespace lugfork
