--- a/src/discovery/evidence_collector.cc
+++ b/src/discovery/evidence_collector.cc
@@ -110,9 +110,10 @@
 
 void EvidenceCollector::forgetOld() {
   const MonotonicTime now = time_source_.monotonicTime();
-  for (auto& [backend, server] : servers_) {
-    std::erase_if(server.by_reporter, [&](const auto& entry) {
-      const Seen& seen = entry.second;
+  for (auto& entry : servers_) {
+    Server& server = entry.second;
+    std::erase_if(server.by_reporter, [&](const auto& reported) {
+      const Seen& seen = reported.second;
       return now - seen.attempt_at > settings_.fresh_for || seen.attempt_at < server.life_at;
     });
   }
