--- a/bench/control_work_bench.cc
+++ b/bench/control_work_bench.cc
@@ -68,7 +68,7 @@
   record.zone = "los-rios-" + std::string(1, static_cast<char>('a' + number % 3));
   record.slots = 2;
   record.state = state;
-  const std::string key = kPrefix + "servers/s-" + std::to_string(1000000 + number);
+  const std::string key = kPrefix + "endpoints/s-" + std::to_string(1000000 + number);
   return {key, encodeRecord(PlatformRecord(record)), revision, number + 1};
 }
 
--- a/src/explain/story.cc
+++ b/src/explain/story.cc
@@ -9,10 +9,20 @@
 namespace {
 
 /** Events of a node that bear on every flow it handles. */
-const std::set<std::string> kNodeEvents = {
-    "started",         "stopped",        "leaving",           "view_complete",
-    "routes_in_force", "platform_lost",  "platform_regained", "upstream_changed",
-    "reload_refused",  "record_invalid", "backend_id_clash",  "log_lines_left_out"};
+const std::set<std::string> kNodeEvents = {"started",
+                                           "stopped",
+                                           "leaving",
+                                           "view_complete",
+                                           "routes_in_force",
+                                           "platform_lost",
+                                           "platform_regained",
+                                           "upstream_changed",
+                                           "reload_refused",
+                                           "record_invalid",
+                                           "backend_id_clash",
+                                           "log_lines_left_out",
+                                           "zones_out_of_reach",
+                                           "evidence_left_out"};
 
 /** Back ends, by whichever of their two names a line gives. */
 struct BackendNames {
