--- a/tests/flow/bounded_rendezvous_policy_test.cc
+++ b/tests/flow/bounded_rendezvous_policy_test.cc
@@ -79,7 +79,7 @@
     policy.choose(idle, {flow, 1}, *random);
   }
   // Each best so far: about the logarithm of the number of candidates.
-  CHECK(idle.loads_asked < 20 * 20);
+  CHECK(idle.loads_asked < std::size_t{20} * 20);
 }
 
 }  // namespace
