--- a/src/discovery/evidence_collector.cc
+++ b/src/discovery/evidence_collector.cc
@@ -10,41 +10,36 @@
 namespace {
 
 /** IP and UDP headers, the tag, the type and the fields beside servers and the zone's name. */
-constexpr std::size_t kHeaderBytes = 28 + 16 + 20;
-/** Most that msgpack takes for one server's fields. */
-constexpr std::size_t kSilenceBytes = 16;
-constexpr std::size_t kSumBytes = kSilenceBytes + 3;
-constexpr std::size_t kLifeBytes = 9;
-/** A digest waits until it may hold some servers: its headers take as much as three. */
-constexpr double kLeastBytes = 200;
+constexpr std::size_t kHeaderBytes = 28 + 16 + 18;
+/** A digest waits until it may hold some servers: its headers take as much as ten. */
+constexpr double kLeastBytes = 130;
 /** Time for which an answer after repetitions is told. */
 constexpr Duration kSurvivedFor = seconds(60);
-/** More reporters, flows and repetitions change nothing that anybody does. */
+/** More reporters and flows are counted no further. */
 constexpr std::uint8_t kMostCounted = 200;
-constexpr std::uint8_t kReportersThatMatter = 3;
+/** Counts from which a receiver decides otherwise: it passes a server over, or takes it for dead.
+ */
+constexpr std::uint8_t kReportersThatMatter = 2;
 constexpr std::uint8_t kFlowsThatMatter = 3;
-constexpr std::uint8_t kRepetitionsThatMatter = 3;
+constexpr std::uint8_t kRepetitionsThatMatter = 4;
 
-/** @return true where two sums call for other decisions. */
-bool differ(const SummedSilence& left, const SummedSilence& right) {
-  const auto counts = [](const SummedSilence& summed) {
-    return std::tuple(std::min(summed.reporters, kReportersThatMatter),
-                      std::min(summed.seen.flows, kFlowsThatMatter),
-                      std::min(summed.seen.repetitions, kRepetitionsThatMatter));
-  };
-  return counts(left) != counts(right);
+/** @return what of a sum receivers decide by: they are told again when it changes. */
+std::tuple<int, bool, int> decisiveOf(const SummedSilence& summed) {
+  const bool has_flows = summed.seen.flows >= kFlowsThatMatter;
+  return {std::min(summed.reporters, kReportersThatMatter), has_flows,
+          has_flows ? std::min(summed.seen.repetitions, kRepetitionsThatMatter) : 0};
 }
 
 }  // namespace
 
 std::size_t wireBytesOf(const EvidenceDigest& digest) {
-  return kHeaderBytes + digest.zone.size() + digest.silent.size() * kSumBytes +
-         digest.alive.size() * kLifeBytes;
+  return kHeaderBytes + digest.zone.size() + digest.silent.size() * SummedSilence::kPackedBytes +
+         digest.alive.size() * ServerLife::kPackedBytes;
 }
 
 std::size_t wireBytesOf(const EvidenceReport& report) {
-  return kHeaderBytes + report.zone.size() + report.silent.size() * kSilenceBytes +
-         report.alive.size() * kLifeBytes;
+  return kHeaderBytes + report.zone.size() + report.silent.size() * ServerSilence::kPackedBytes +
+         report.alive.size() * ServerLife::kPackedBytes;
 }
 
 void EvidenceCollector::onReport(const EvidenceReport& report, Endpoint from) {
@@ -145,7 +140,7 @@
     const SummedSilence summed = sum(backend, server, attempt_at);
     const bool is_later = attempt_at - server.told_attempt_at >= settings_.repeat_after;
     const bool shows_life = server.life_at - server.told_life_at >= settings_.digest_gap;
-    if (differ(summed, server.told) || is_later || shows_life) {
+    if (decisiveOf(summed) != decisiveOf(server.told) || is_later || shows_life) {
       server.version = ++version_;
       server.told = summed;
       server.told_attempt_at = attempt_at;
@@ -171,7 +166,7 @@
   digest.zone = zone_;
   digest.survived_repetitions = survived_;
   const double for_servers = subscriber.bytes_left - static_cast<double>(wireBytesOf(digest));
-  const auto most = static_cast<std::size_t>(for_servers / kSumBytes);
+  const auto most = static_cast<std::size_t>(for_servers / SummedSilence::kPackedBytes);
   subscriber.version =
       addNewerThan(subscriber.version, std::min(most, kMaxServersInEvidence), digest);
   if (digest.silent.empty() && digest.alive.empty() && !subscriber.owes_answer) {
--- a/src/discovery/evidence_collector.h
+++ b/src/discovery/evidence_collector.h
@@ -25,9 +25,9 @@
   /** Shortest time between two digests to one balancer. */
   Duration digest_gap = milliseconds(200);
   /** A server that is silent still is told again after this long, so that it stays believed. */
-  Duration repeat_after = milliseconds(500);
-  /** Bytes a second to one balancer, and at once: two that sum and its reports make 800. */
-  double bytes_per_second = 250;
+  Duration repeat_after = milliseconds(700);
+  /** Bytes a second to one balancer, and at once: with its reports under a kilobyte a second. */
+  double bytes_per_second = 450;
   double burst_bytes = 600;
   /** Balancers that are told at most: more than a zone of a fleet of 400 holds. */
   std::size_t max_subscribers = 150;
@@ -66,6 +66,9 @@
   /** Tells subscribers what has changed; to be called several times a second. */
   void tell();
 
+  /** Forgets what is too old to count; to be called where nothing is told. */
+  void forgetOld();
+
   /** @return all that is known now, for this node itself. */
   EvidenceDigest digest() const;
 
@@ -104,7 +107,6 @@
   void leaveOut(Endpoint reporter);
   void noteSilence(const ServerSilence& silent, Endpoint from);
   void noteLife(BackendId backend, MonotonicTime life_at);
-  void forgetOld();
   void noteChanges();
   SummedSilence sum(BackendId backend, const Server& server, MonotonicTime& attempt_at) const;
   void tell(Endpoint to, Subscriber& subscriber);
--- a/src/discovery/evidence_exchange.cc
+++ b/src/discovery/evidence_exchange.cc
@@ -37,6 +37,7 @@
     collector_.tell();
     shared_.onDigest(collector_.digest());
   } else {
+    collector_.forgetOld();
     shared_.refresh();
   }
 }
@@ -46,9 +47,7 @@
   if (!report) {
     return;
   }
-  if (collector_.hasSubscribers()) {
-    collector_.onOwnReport(*report);
-  }
+  collector_.onOwnReport(*report);
   const MonotonicTime now = time_source_.monotonicTime();
   for (const Endpoint to : recipients()) {
     Candidate& candidate = candidates_[to];
--- a/src/discovery/evidence_exchange.h
+++ b/src/discovery/evidence_exchange.h
@@ -20,18 +20,21 @@
 struct EvidenceExchangeSettings {
   /** Time between looks at what is new; twice this passes from one node's loss to all others. */
   Duration interval = milliseconds(100);
-  /** Balancers of the own zone that sum: one may fail without a gap. */
-  std::size_t collectors = 2;
+  /**
+   * Balancers of the own zone that sum for this one. A second one would halve the news that fits
+   * into the bytes; without it news pauses for `answer_patience` when the one stops.
+   */
+  std::size_t collectors = 1;
   /** Balancers whose zone is not known yet that get one report; those of other zones answer so. */
   std::size_t unknown_at_once = 4;
   /** Time after which a balancer that did not answer a report is left alone, and for how long. */
-  Duration answer_patience = seconds(2);
+  Duration answer_patience = seconds(1);
   Duration unanswered_for = seconds(5);
   /** Time for which a balancer's zone is remembered. */
   Duration zone_lifetime = seconds(60);
   /** Bytes a second of reports over all collectors, and at once. */
-  double bytes_per_second = 300;
-  double burst_bytes = 600;
+  double bytes_per_second = 350;
+  double burst_bytes = 500;
 };
 
 /** Counts of an EvidenceExchange. */
--- a/src/wire/evidence_messages.h
+++ b/src/wire/evidence_messages.h
@@ -5,7 +5,7 @@
 #include <tuple>
 #include <vector>
 
-#include "common/ids.h"
+#include "wire/datagram.h"
 
 /** What balancers of one zone tell each other of servers that do not answer. */
 namespace lugfork {
@@ -13,7 +13,7 @@
 /** Age of something that never was [ms]. */
 inline constexpr std::uint16_t kNeverMilliseconds = 0xffff;
 /** Servers in one message at most: with its headers it stays under half a kilobyte. */
-inline constexpr std::size_t kMaxServersInEvidence = 24;
+inline constexpr std::size_t kMaxServersInEvidence = 48;
 
 /** What one balancer has seen of a server that does not answer it. */
 struct ServerSilence {
@@ -26,7 +26,10 @@
   std::uint16_t attempt_age_ms = 0;
   /** Age of the last sign of life [ms]. */
   std::uint16_t life_age_ms = kNeverMilliseconds;
-  auto fields() { return std::tie(backend, flows, repetitions, attempt_age_ms, life_age_ms); }
+  /** Counts above 15 and ages above 2.5 s (attempt) and 5 s (life) go as these. */
+  static constexpr std::uint32_t kPackedBytes = 7;
+  void packTo(Bytes& out) const;
+  static ServerSilence unpack(const std::uint8_t* bytes);
   bool operator==(const ServerSilence&) const = default;
 };
 
@@ -35,7 +38,9 @@
   BackendId backend;
   /** Age of the sign of life [ms]. */
   std::uint16_t age_ms = 0;
-  auto fields() { return std::tie(backend, age_ms); }
+  static constexpr std::uint32_t kPackedBytes = 5;
+  void packTo(Bytes& out) const;
+  static ServerLife unpack(const std::uint8_t* bytes);
   bool operator==(const ServerLife&) const = default;
 };
 
@@ -61,7 +66,9 @@
   std::uint8_t reporters = 0;
   /** Flows and last attempt over all, most repetitions, last sign of life to any. */
   ServerSilence seen;
-  auto fields() { return std::tie(reporters, seen); }
+  static constexpr std::uint32_t kPackedBytes = 1 + ServerSilence::kPackedBytes;
+  void packTo(Bytes& out) const;
+  static SummedSilence unpack(const std::uint8_t* bytes);
   bool operator==(const SummedSilence&) const = default;
 };
 
--- a/src/wire/message_codec.h
+++ b/src/wire/message_codec.h
@@ -39,6 +39,17 @@
 template <typename T>
 struct IsVector<std::vector<T>> : std::true_type {};
 
+/** Structs of a fixed size that go as plain bytes, where thousands of them are sent. */
+template <typename T>
+concept HasPackedForm = requires {
+  T::kPackedBytes;
+};
+
+template <typename T>
+struct IsPackedVector : std::false_type {};
+template <HasPackedForm T>
+struct IsPackedVector<std::vector<T>> : std::true_type {};
+
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
 template <typename T>
@@ -55,6 +66,12 @@
     packer.pack_bin(static_cast<std::uint32_t>(value.size()));
     packer.pack_bin_body(reinterpret_cast<const char*>(value.data()),
                          static_cast<std::uint32_t>(value.size()));
+  } else if constexpr (IsPackedVector<T>::value) {
+    Bytes bytes;
+    for (const auto& element : value) {
+      element.packTo(bytes);
+    }
+    packValue(packer, bytes);
   } else if constexpr (IsVector<T>::value) {
     packer.pack_array(static_cast<std::uint32_t>(value.size()));
     for (const auto& element : value) {
@@ -94,6 +111,19 @@
   return true;
 }
 
+/** Reads elements that were packed one behind the other. */
+template <HasPackedForm T>
+bool unpackPacked(const msgpack::object& object, std::vector<T>& values) {
+  if (object.type != msgpack::type::BIN || object.via.bin.size % T::kPackedBytes != 0) {
+    return false;
+  }
+  const auto* bytes = reinterpret_cast<const std::uint8_t*>(object.via.bin.ptr);
+  for (std::uint32_t start = 0; start < object.via.bin.size; start += T::kPackedBytes) {
+    values.push_back(T::unpack(bytes + start));
+  }
+  return true;
+}
+
 template <typename T>
 bool unpackVector(const msgpack::object& object, std::vector<T>& values) {
   if (object.type != msgpack::type::ARRAY) {
@@ -147,6 +177,8 @@
     }
     std::copy_n(object.via.bin.ptr, value.size(), value.begin());
     return true;
+  } else if constexpr (IsPackedVector<T>::value) {
+    return unpackPacked(object, value);
   } else if constexpr (IsVector<T>::value) {
     return unpackVector(object, value);
   } else {
