--- a/tests/balancer/packet_node_test.cc
+++ b/tests/balancer/packet_node_test.cc
@@ -266,6 +266,24 @@
   CHECK((to_silent == 0) == settings.uses.pass_over_suspects);
 }
 
+TEST_CASE("servers that others found silent get no new flows where evidence is shared",
+          "[packet_node]") {
+  PacketNodeSettings settings;
+  settings.zone = "lac";
+  settings.uses.share_evidence = GENERATE(true, false);
+  PacketNodeHarness harness(settings);
+  harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server"),
+                item("backends/b", 4, "server"), item("backends/c", 5, "server")});
+  const ServerSilence silent{backendIdOfIncarnation('a'), 1, 0, 50, kNeverMilliseconds};
+  harness.node.sharedEvidence().onDigest({"lac", 0, {{2, silent}}, {}});
+  for (std::uint16_t port = 1; port <= 60; ++port) {
+    harness.open(port);
+  }
+  const auto to_silent =
+      std::count(harness.forwarded.begin(), harness.forwarded.end(), "backends/a");
+  CHECK((to_silent == 0) == settings.uses.share_evidence);
+}
+
 TEST_CASE("a leaving node is not ready and still serves", "[packet_node]") {
   PacketNodeHarness harness;
   harness.read({item("routes/all", 2, "route"), item("backends/a", 3, "server")});
