--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -15,6 +15,13 @@
   return placement;
 }
 
+LocalitySettings localitySettingsOf(const PacketNodeSettings& settings) {
+  LocalitySettings locality = settings.locality;
+  locality.largest_weight = settings.placement.local_weight;
+  locality.largest_bulk_weight = settings.placement.bulk_local_weight;
+  return locality;
+}
+
 }  // namespace
 
 PacketNode::PacketNode(PacketNodeSettings settings, const PlatformLayout& layout,
@@ -24,6 +31,7 @@
       decoder_(layout.decoder),
       scheduler_(scheduler),
       log_(log),
+      work_(log),
       registry_(settings_.retired_for, time_source, log),
       loads_(settings_.load, time_source),
       placement_(placementSettingsOf(settings_), makePlacementPolicy(settings_.placement_policy),
@@ -33,6 +41,7 @@
       observer_(settings_.observer, time_source),
       silence_(settings_.silence, time_source, log),
       response_times_(settings_.response_times, time_source),
+      locality_(localitySettingsOf(settings_), time_source, log),
       tokens_(settings_.token_key),
       router_(decider_, silence_, observer_, tokens_, sender, *this, log),
       follower_(layout.prefix, settings_.follower, source, scheduler, time_source, random, *this) {
@@ -42,6 +51,7 @@
 
 void PacketNode::connectObservations() {
   placement_.setColdServerLimit(&cold_limit_);
+  placement_.setLocality(&locality_);
   if (settings_.uses.pass_over_suspects) {
     placement_.setSuspicion(&silence_);
   }
@@ -93,15 +103,21 @@
 
 void PacketNode::onResponse(BackendId backend, Duration duration) {
   response_times_.onResponse(backend, duration);
+  if (const Backend* known = decider_.configuration()->backend(backend)) {
+    placement_.onResponse(*known, duration);
+  }
   if (on_response_) {
     on_response_(duration);
   }
 }
 
 void PacketNode::onItems(const std::vector<ItemChange>& changes) {
-  for (const ItemChange& change : changes) {
-    onChange(change);
-  }
+  work_.measure(ControlWork::Items, [&] {
+    for (const ItemChange& change : changes) {
+      onChange(change);
+    }
+    return static_cast<std::uint64_t>(changes.size());
+  });
   applySoon();
 }
 
@@ -156,7 +172,7 @@
     onDeletion(item);
     return;
   }
-  const auto decoded = decoder_.decode(item.key, item.value);
+  auto decoded = decoder_.decode(item.key, item.value);
   if (!decoded) {
     ++counters_.records_invalid;
     log_.write(LogLevel::Error, "discovery", "record_invalid",
@@ -165,8 +181,8 @@
   }
   if (const auto* server = std::get_if<ServerRecord>(&decoded.value())) {
     registry_.onServer(item.key, *server, item.revision, item.created);
-  } else if (const auto* table = std::get_if<RouteTable>(&decoded.value())) {
-    registry_.onRoutes(*table, item.revision);
+  } else if (auto* table = std::get_if<RouteTable>(&decoded.value())) {
+    registry_.onRoutes(std::move(*table), item.revision);
   } else if (const auto* zone = std::get_if<ZoneOutOfService>(&decoded.value())) {
     registry_.onZoneOutOfService(item.key, *zone, item.revision);
   }
@@ -210,11 +226,7 @@
 void PacketNode::apply() {
   apply_pending_ = false;
   ++counters_.configurations_applied;
-  const ConfigurationViewPtr configuration = registry_.makeConfiguration();
-  silence_.retain(*configuration);
-  response_times_.retain(*configuration);
-  observer_.retain(*configuration);
-  decider_.setConfiguration(configuration);
+  work_.measure(ControlWork::Configuration, [this] { return updateConfiguration(); });
   zones_out_of_service_ = registry_.zonesOutOfService();
   // The operator's first routes may come after the first full read.
   if (isComplete() && on_complete_) {
@@ -222,6 +234,29 @@
   }
 }
 
+std::uint64_t PacketNode::updateConfiguration() {
+  const std::uint64_t routes_before = registry_.counters().routes_made;
+  const ConfigurationChanges changes = registry_.updateConfiguration();
+  if (decider_.configuration() == nullptr) {
+    decider_.setConfiguration(registry_.configuration());
+  } else {
+    decider_.onConfigurationChanged(changes);
+  }
+  if (!changes.removed.empty()) {
+    forgetRemoved();
+  }
+  return changes.backends.size() + changes.removed.size() + registry_.counters().routes_made -
+         routes_before;
+}
+
+void PacketNode::forgetRemoved() {
+  const ConfigurationView& configuration = *registry_.configuration();
+  silence_.retain(configuration);
+  response_times_.retain(configuration);
+  observer_.retain(configuration);
+  locality_.retain(configuration);
+}
+
 void PacketNode::scheduleComparison() {
   scheduler_.callAfter(kComparisonInterval, [this] {
     if (decider_.configuration() != nullptr) {
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "balancer/control_work_meter.h"
 #include "common/event_log.h"
 #include "common/scheduler.h"
 #include "discovery/backend_registry.h"
@@ -38,6 +39,8 @@
   ObservationUses uses;
   SilenceSettings silence;
   ResponseTimeSettings response_times;
+  /** Its weights are taken from the placement's. */
+  LocalitySettings locality;
   LoadEstimateSettings load;
   ColdServerLimitSettings cold_servers;
   ViewFollowerSettings follower;
@@ -106,12 +109,21 @@
     on_response_ = std::move(callback);
   }
 
+  /** Sets the clock by which control work is measured. */
+  void setProcessorClock(const ProcessorClock& clock) { work_.setClock(clock); }
+  const ControlWorkMeter& controlWork() const { return work_; }
+
   const PacketCounters& packetCounters() const { return router_.counters(); }
   const PacketNodeCounters& counters() const { return counters_; }
+  const LocalityRouter& locality() const { return locality_; }
+  /** @return routes and back ends in force, or nullptr before the first. */
+  const ConfigurationView* configuration() const { return decider_.configuration(); }
   const ViewFollower& follower() const { return follower_; }
   /** @return the zones whose servers get no new flow, by the configuration in force. */
   std::size_t zonesOutOfService() const { return zones_out_of_service_; }
   std::uint64_t routesVersion() const { return registry_.routesVersion(); }
+  const BackendRegistryCounters& registryCounters() const { return registry_.counters(); }
+  std::uint64_t candidatesMade() const { return placement_.candidatesMade(); }
 
  private:
   // PacketRouterHost
@@ -142,6 +154,9 @@
   void scheduleRetirement();
   void applySoon();
   void apply();
+  /** @return the back ends and routes that have changed. */
+  std::uint64_t updateConfiguration();
+  void forgetRemoved();
   void scheduleCleanup();
   void scheduleComparison();
 
@@ -149,6 +164,7 @@
   const RecordDecoder& decoder_;
   Scheduler& scheduler_;
   EventLog& log_;
+  ControlWorkMeter work_;
   BackendRegistry registry_;
   BackendLoadTable loads_;
   PlacementEngine placement_;
@@ -157,6 +173,7 @@
   FlowObserver observer_;
   SilenceDetector silence_;
   ResponseTimes response_times_;
+  LocalityRouter locality_;
   const CompactTokenCodec tokens_;
   PacketRouter router_;
   ViewFollower follower_;
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -46,6 +46,21 @@
   const double local_weight_;
 };
 
+/**
+ * Changes from which lists are made anew: to look for one back end in a list costs as much as a
+ * fiftieth of that (control_work_bench, 3,000 servers).
+ */
+constexpr std::size_t kChangesToRemake = 50;
+
+/** Takes an element out; the last one gets its place. */
+void eraseUnordered(std::vector<const Backend*>& backends, const Backend* backend) {
+  const auto found = std::find(backends.begin(), backends.end(), backend);
+  if (found != backends.end()) {
+    *found = backends.back();
+    backends.pop_back();
+  }
+}
+
 }  // namespace
 
 PlacementEngine::PlacementEngine(PlacementSettings settings, PlacementPolicyPtr policy,
@@ -65,18 +80,56 @@
   local_zone_ = local_zone == nullptr ? std::nullopt : std::optional<ZoneId>(local_zone->id);
 }
 
+void PlacementEngine::onConfigurationChanged(const ConfigurationChanges& changes) {
+  if (changes.services) {
+    setConfiguration(configuration_);
+    return;
+  }
+  if (changes.backends.size() + changes.removed.size() > kChangesToRemake) {
+    invalidateCandidates();
+    return;
+  }
+  for (const auto& backend : changes.removed) {
+    takeOut(backend.get());
+  }
+  for (const Backend* backend : changes.backends) {
+    takeOut(backend);
+    takeIn(backend);
+  }
+}
+
+void PlacementEngine::takeOut(const Backend* backend) {
+  for (auto& [service, list] : candidates_) {
+    eraseUnordered(list.eligible, backend);
+    eraseUnordered(list.backends, backend);
+  }
+}
+
+void PlacementEngine::takeIn(const Backend* backend) {
+  const auto found = candidates_.find(backend->service);
+  const Service* service = configuration_->service(backend->service);
+  if (found == candidates_.end() || service == nullptr || backend->retired ||
+      !isEligible(*service, *backend)) {
+    return;
+  }
+  ++candidates_made_;
+  found->second.eligible.push_back(backend);
+  found->second.backends.push_back(backend);
+}
+
 Result<const Backend*, PlacementRefusal> PlacementEngine::place(const Service& service,
                                                                 const FlowId& flow,
                                                                 FlowVolume volume,
                                                                 BackendId excluded) {
   CandidateList& list = candidatesOf(service);
-  const Backend* chosen = choose(list, flow, volume);
+  const double local_weight = localWeight(service.id, volume);
+  const Backend* chosen = choose(list, flow, local_weight);
   if (chosen != nullptr && chosen->id == excluded) {
     std::vector<const Backend*>& backends = list.backends;
     std::iter_swap(std::find(backends.begin(), backends.end(), chosen), backends.end() - 1);
     backends.pop_back();
     const Backend* refused_before = chosen;
-    chosen = choose(list, flow, volume);
+    chosen = choose(list, flow, local_weight);
     backends.push_back(refused_before);
   }
   if (chosen == nullptr) {
@@ -86,6 +139,9 @@
   if (cold_limit_ != nullptr) {
     cold_limit_->onPlaced(*chosen);
   }
+  if (locality_ != nullptr) {
+    locality_->onPlaced(service.id, isLocal(*chosen));
+  }
   return chosen;
 }
 
@@ -97,12 +153,25 @@
   if (service == nullptr || !(contradicts_report || lost_state)) {
     return;
   }
-  outliers_.onFailure(backend, attempt, candidatesOf(*service).size_when_made);
+  outliers_.onFailure(backend, attempt, candidatesOf(*service).eligible.size());
+}
+
+void PlacementEngine::onResponse(const Backend& backend, Duration duration) {
+  if (locality_ != nullptr) {
+    locality_->onResponse(backend.service, isLocal(backend), duration);
+  }
+}
+
+double PlacementEngine::localWeight(ServiceId service, FlowVolume volume) const {
+  const bool bulk = volume == FlowVolume::Bulk;
+  if (locality_ != nullptr) {
+    return locality_->weight(service, bulk);
+  }
+  return bulk ? settings_.bulk_local_weight : settings_.local_weight;
 }
 
-const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow, FlowVolume volume) {
-  const double local_weight =
-      volume == FlowVolume::Bulk ? settings_.bulk_local_weight : settings_.local_weight;
+const Backend* PlacementEngine::choose(CandidateList& list, const FlowId& flow,
+                                       double local_weight) {
   std::vector<const Backend*>& backends = list.backends;
   while (!backends.empty()) {
     const LoadedCandidates candidates(backends, loads_, speed_, in_flight_, local_zone_,
@@ -127,7 +196,7 @@
 }
 
 PlacementRefusal PlacementEngine::refusalFor(const Service& service, const CandidateList& list) {
-  if (list.size_when_made == 0) {
+  if (list.eligible.empty()) {
     return {Reason::NoBackendInAllowedZones, settings_.retry_after};
   }
   // By then about half of the present requests have ended; spread, so that callers don't bunch.
@@ -159,19 +228,54 @@
   std::size_t reachable = 0;
   std::size_t suspects = 0;
   for (const Backend* backend : configuration_->backendsOf(service.id)) {
-    if (!service.allowsZone(backend->zone) || loads_.isLeaving(*backend)) {
+    ++candidates_made_;
+    if (!isEligible(service, *backend)) {
       continue;
     }
     reachable += loads_.looksReachable(*backend) ? 1 : 0;
     suspects += isSuspect(*backend) ? 1 : 0;
     list.backends.push_back(backend);
   }
-  loads_.refreshService(service.id, list.backends);
+  // Requests in flight take the place of an estimate that no report has begun.
+  if (in_flight_ == nullptr || loads_.isTold()) {
+    loads_.refreshService(service.id, list.backends);
+  }
   list.ignore_reachability = static_cast<double>(reachable) <
                              settings_.panic_threshold * static_cast<double>(list.backends.size());
   list.ignore_suspicion = static_cast<double>(suspects) >
                           settings_.panic_threshold * static_cast<double>(list.backends.size());
-  list.size_when_made = list.backends.size();
+  list.eligible = list.backends;
+  if (locality_ != nullptr) {
+    assessLocality(service, list);
+  }
+}
+
+void PlacementEngine::assessLocality(const Service& service, CandidateList& list) {
+  const LocalityCapacity capacity = capacityOf(list);
+  locality_->assess(service, capacity);
+  if (locality_->ownZoneSuffices(capacity)) {
+    // In a zone that is cut off most back ends are silent, and those of the zone serve its callers.
+    list.ignore_suspicion = false;
+  }
+}
+
+LocalityCapacity PlacementEngine::capacityOf(const CandidateList& list) const {
+  const MonotonicTime now = time_source_.monotonicTime();
+  LocalityCapacity capacity;
+  capacity.zones = configuration_->document().zones.size();
+  for (const Backend* backend : list.backends) {
+    const bool usable =
+        !isSuspect(*backend) && loads_.looksReachable(*backend) && now >= backend->cold_until;
+    const double share = speed_ == nullptr ? 1 : speed_->shareOf(backend->id);
+    const double usable_slots = usable ? share * backend->slots : 0;
+    capacity.all_slots += backend->slots;
+    capacity.all_usable += usable_slots;
+    if (isLocal(*backend)) {
+      capacity.own_slots += backend->slots;
+      capacity.own_usable += usable_slots;
+    }
+  }
+  return capacity;
 }
 
 }  // namespace lugfork
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -5,8 +5,10 @@
 #include <unordered_map>
 
 #include "common/result.h"
+#include "config/live_configuration.h"
 #include "flow/backend_load_table.h"
 #include "flow/cold_server_limit.h"
+#include "flow/locality_router.h"
 #include "flow/outlier_detector.h"
 #include "flow/policy/placement_policy.h"
 #include "flow/requests_in_flight.h"
@@ -68,6 +70,9 @@
 
   void setConfiguration(ConfigurationViewPtr configuration);
 
+  /** The configuration in force has changed in place: lists of candidates take over the changes. */
+  void onConfigurationChanged(const ConfigurationChanges& changes);
+
   /** Makes the next placement look at every back end's state again. */
   void invalidateCandidates() { candidates_.clear(); }
 
@@ -100,18 +105,27 @@
   /** Sets what tells of back ends that do not answer; they are passed over. */
   void setSuspicion(const BackendSuspicion* suspicion) { suspicion_ = suspicion; }
 
+  /** Sets what finds the own zone's weight; without it, it is the settings' constant. */
+  void setLocality(LocalityRouter* locality) { locality_ = locality; }
+
+  /** Takes data-path evidence of how long a back end took to answer. */
+  void onResponse(const Backend& backend, Duration duration);
+
   /** Takes data-path evidence that a back end works: a caller confirmed a piece of its answer. */
   void onBackendProgress(BackendId backend) { outliers_.onSuccess(backend); }
 
   bool isEjected(BackendId backend) const { return outliers_.isEjected(backend); }
 
+  /** @return the back ends that were looked at to make lists of candidates, for all time. */
+  std::uint64_t candidatesMade() const { return candidates_made_; }
+
  private:
   /** Back ends that may be chosen; those found not to fit are taken out until it is made again. */
   struct CandidateList {
     std::vector<const Backend*> backends;
     MonotonicTime made_at;
     /** Back ends in allowed zones that are not leaving, whether they fit or not. */
-    std::size_t size_when_made = 0;
+    std::vector<const Backend*> eligible;
     /** Most back ends look unreachable, so the view is suspect: reachability is not looked at. */
     bool ignore_reachability = false;
     /** The same for back ends that do not seem to answer. */
@@ -121,6 +135,17 @@
   CandidateList& candidatesOf(const Service& service);
   void makeCandidates(const Service& service, CandidateList& list);
   bool isStale(const CandidateList& list) const;
+  bool isEligible(const Service& service, const Backend& backend) const {
+    return service.allowsZone(backend.zone) && !loads_.isLeaving(backend);
+  }
+  void takeOut(const Backend* backend);
+  void takeIn(const Backend* backend);
+
+  /** Tells the LocalityRouter what the candidates can take. */
+  void assessLocality(const Service& service, CandidateList& list);
+  LocalityCapacity capacityOf(const CandidateList& list) const;
+  double localWeight(ServiceId service, FlowVolume volume) const;
+  bool isLocal(const Backend& backend) const { return backend.zone == local_zone_; }
   bool isSuspect(const Backend& backend) const {
     return suspicion_ != nullptr && suspicion_->isSuspect(backend.id);
   }
@@ -129,7 +154,7 @@
   bool fits(const Backend& backend, const CandidateList& list) const;
 
   /** Chooses from the list and takes out what does not fit. @return nullptr if nothing is left. */
-  const Backend* choose(CandidateList& list, const FlowId& flow, FlowVolume volume);
+  const Backend* choose(CandidateList& list, const FlowId& flow, double local_weight);
   PlacementRefusal refusalFor(const Service& service, const CandidateList& list);
 
   const PlacementSettings settings_;
@@ -142,8 +167,10 @@
   const BackendSpeed* speed_ = nullptr;
   ColdServerLimit* cold_limit_ = nullptr;
   const RequestsInFlight* in_flight_ = nullptr;
+  LocalityRouter* locality_ = nullptr;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
+  std::uint64_t candidates_made_ = 0;
   /** Id of the local zone in the configuration in force. */
   std::optional<ZoneId> local_zone_;
 };
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -91,6 +91,28 @@
              counters.bytes);
 }
 
+/** What leaves the zone, by service. */
+void addLocality(MetricPage& page, const PacketNode& node) {
+  if (node.configuration() == nullptr) {
+    return;
+  }
+  const LocalityRouter& locality = node.locality();
+  const char* help = "New flows placed, by zone and by why the share beyond the own zone was so.";
+  for (const Service& service : node.configuration()->document().services) {
+    const LocalityCounters counters = locality.counters(service.id);
+    page.addCounter("lugfork_flows_placed_total", help, counters.own_zone,
+                    {{"service", service.name}, {"zone", "own"}, {"cause", "none"}});
+    for (std::size_t index = 0; index < std::size(counters.beyond); ++index) {
+      const std::string_view cause = toString(static_cast<OverflowCause>(index));
+      page.addCounter("lugfork_flows_placed_total", help, counters.beyond[index],
+                      {{"service", service.name}, {"zone", "beyond"}, {"cause", cause}});
+    }
+    page.addGauge("lugfork_own_zone_share",
+                  "Share of new flows that stays in the own zone, by slots and weight.",
+                  locality.ownShare(service.id), {{"service", service.name}});
+  }
+}
+
 void addPeerSocket(MetricPage& page, const UdpPeerSocket& socket, const ViewClient& client) {
   addCounter(page, "lugfork_peer_datagrams_refused_total",
              "Datagrams of another form, fleet or version.", socket.refused());
@@ -112,6 +134,23 @@
   }
 }
 
+void addControlWork(MetricPage& page, const ControlWorkMeter& meter) {
+  for (std::size_t index = 0; index < kControlWorkCount; ++index) {
+    const auto work = static_cast<ControlWork>(index);
+    const ControlWorkCost& cost = meter.cost(work);
+    const MetricLabels labels = {{"kind", toString(work)}};
+    page.addCounter("lugfork_control_work_slices_total",
+                    "Slices of control work, in which packets wait.", cost.slices, labels);
+    page.addCounter("lugfork_control_work_units_total",
+                    "Items read, or back ends and routes brought up to date.", cost.units, labels);
+    page.addCounter("lugfork_control_work_processor_microseconds_total",
+                    "Processor time of control work.",
+                    static_cast<std::uint64_t>(cost.processor.count()), labels);
+    page.addGauge("lugfork_control_work_longest_seconds", "Processor time of the longest slice.",
+                  std::chrono::duration<double>(cost.longest).count(), labels);
+  }
+}
+
 }  // namespace
 
 PacketMetrics::PacketMetrics()
@@ -130,9 +169,11 @@
   if (figures.provider != nullptr) {
     addProvider(page, figures.provider->counters());
   }
+  addLocality(page, node);
   if (figures.peer_socket != nullptr && figures.view_client != nullptr) {
     addPeerSocket(page, *figures.peer_socket, *figures.view_client);
   }
+  addControlWork(page, node.controlWork());
   addCounter(page, "lugfork_platform_records_invalid_total", "Items that can't be read.",
              node.counters().records_invalid);
   addCounter(page, "lugfork_log_lines_left_out_total", "Log lines left out by the limit.",
