--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -117,16 +117,16 @@
   const EvidenceExchangeCounters& counters = exchange.counters();
   const EvidenceCollectorCounters& summed = exchange.collectorCounters();
   const char* help = "Messages between balancers about silent servers.";
-  const auto addMessages = [&](const char* kind, std::uint64_t count) {
+  const auto add_messages = [&](const char* kind, std::uint64_t count) {
     addCounter(registry, "lugfork_evidence_messages_total", help, count, {{"kind", kind}});
   };
-  addMessages("report_sent", counters.reports_sent);
-  addMessages("report_received", summed.reports);
-  addMessages("report_left_out", summed.reports_left_out);
-  addMessages("report_of_other_zone", counters.reports_of_other_zones);
-  addMessages("digest_sent", summed.digests);
-  addMessages("digest_received", counters.digests_received);
-  addMessages("digest_of_other_zone", counters.digests_of_other_zones);
+  add_messages("report_sent", counters.reports_sent);
+  add_messages("report_received", summed.reports);
+  add_messages("report_left_out", summed.reports_left_out);
+  add_messages("report_of_other_zone", counters.reports_of_other_zones);
+  add_messages("digest_sent", summed.digests);
+  add_messages("digest_received", counters.digests_received);
+  add_messages("digest_of_other_zone", counters.digests_of_other_zones);
   addGauge(registry, "lugfork_suspect_servers", "Servers that look silent, by who has seen it.",
            static_cast<double>(node.suspectsBySelf()), {{"seen_by", "self"}});
   addGauge(registry, "lugfork_suspect_servers", "Servers that look silent, by who has seen it.",
--- a/tests/wire/evidence_messages_test.cc
+++ b/tests/wire/evidence_messages_test.cc
@@ -83,13 +83,13 @@
 TEST_CASE("a version that does not know evidence refuses it, and nothing else",
           "[evidence_messages]") {
   using OldMessage = std::variant<ViewRequest, ViewPart, ViewRefusal, PeersRequest, PeersReply>;
-  const auto readByOldVersion = [](const ViewMessage& message) {
+  const auto read_by_old_version = [](const ViewMessage& message) {
     const Bytes bytes = message_codec::encodeVariant(message);
     return message_codec::decodeVariant<OldMessage>(bytes.data(), bytes.size());
   };
-  CHECK(readByOldVersion(EvidenceReport()).error() == CodecError::UnknownType);
-  CHECK(readByOldVersion(EvidenceDigest()).error() == CodecError::UnknownType);
-  CHECK(readByOldVersion(PeersReply()));
+  CHECK(read_by_old_version(EvidenceReport()).error() == CodecError::UnknownType);
+  CHECK(read_by_old_version(EvidenceDigest()).error() == CodecError::UnknownType);
+  CHECK(read_by_old_version(PeersReply()));
 }
 
 }  // namespace
