--- a/tests/platform/packetd_fixture.h
+++ b/tests/platform/packetd_fixture.h
@@ -152,13 +152,13 @@
 
   void start() { start(settings_file_); }
 
-  /** Starts with a settings file of the caller's. */
-  void start(const std::string& settings_file) {
+  /** Starts with a settings file of the caller's, and another copy of the program. */
+  void start(const std::string& settings_file, const std::string& program = LUGFORK_PACKETD) {
     pid_ = ::fork();
     if (pid_ == 0) {
       const int log = ::open(log_file_.c_str(), O_WRONLY | O_APPEND);
       ::dup2(log, STDOUT_FILENO);
-      ::execl(LUGFORK_PACKETD, LUGFORK_PACKETD, "--settings", settings_file.c_str(), nullptr);
+      ::execl(program.c_str(), program.c_str(), "--settings", settings_file.c_str(), nullptr);
       _exit(127);
     }
   }
--- a/tests/platform/packetd_start_test.cc
+++ b/tests/platform/packetd_start_test.cc
@@ -4,6 +4,7 @@
 #include <sys/stat.h>
 
 #include <catch2/catch.hpp>
+#include <filesystem>
 
 #include "platform/packetd_fixture.h"
 
@@ -124,5 +125,45 @@
   CHECK(count > 2);
 }
 
+TEST_CASE("a daemon whose appender is missing says so and logs on", "[packetd]") {
+  StoreStandin store;
+  Packetd daemon(store.address());
+  std::ofstream(daemon.settingsFile(), std::ios::app) << "log-appender-delay = 0\n";
+  std::string folder = "/tmp/lugfork-packetd-XXXXXX";
+  REQUIRE(::mkdtemp(folder.data()) != nullptr);
+  const std::string program = folder + "/lugfork-packetd";
+  std::filesystem::copy_file(LUGFORK_PACKETD, program);
+  daemon.start(daemon.settingsFile(), program);
+  CHECK(Packetd::eventually(
+      [&] { return daemon.log().find("log_appender_missing") != std::string::npos; }));
+  daemon.signal(SIGTERM);
+  CHECK(daemon.wait() == 0);
+  CHECK(daemon.log().find("\"event\":\"stopped\"") != std::string::npos);
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("the metrics tell processor time and the time until the first packet", "[packetd]") {
+  StoreStandin store;
+  TestSocket server;
+  store.put(
+      "op/config",
+      R"({"version":7,"routes":[{"host":"198.18.0.1","path_prefix":"/443/","service":"s"}]})");
+  store.put("servers/i-0badcafe01",
+            R"({"service":"s","address":")" + toString(server.address()) +
+                R"(","zone":"lac","version":"v1","capacity":2,"state":"ready","seq":1})");
+  Packetd daemon(store.address());
+  daemon.start();
+  REQUIRE(daemon.waitForReady(200));
+  const std::string first_packet = "\nlugfork_start_to_first_packet_seconds ";
+  CHECK(daemon.metricsSay("\nlugfork_processor_seconds_total 0."));
+  CHECK(daemon.metrics().find(first_packet) == std::string::npos);
+  TestSocket client;
+  client.send(daemon.packetAddress(),
+              {0,    0,    0,    0,    0,    0,    127, 0, 0, 1, 1, 0xbb, 0xc6, 0x12, 0,    1,
+               0x9c, 0x41, 0x11, 0x22, 0x33, 0x44, 0,   0, 0, 0, 4, 0,    0xa1, 0xb2, 0xc3, 0xd5});
+  CHECK_FALSE(server.receive().empty());
+  CHECK(daemon.metricsSay(first_packet));
+}
+
 }  // namespace
 }  // namespace lugfork::platform
