--- a/src/runtime/json_log_line.cc
+++ b/src/runtime/json_log_line.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <ctime>
+#include <chrono>
 #include <nlohmann/json.hpp>
 
 namespace lugfork {
@@ -34,14 +34,41 @@
          character != '\\';
 }
 
-/** @return the time in UTC as RFC 3339 writes it, without the fraction of the second. */
-std::string secondText(std::time_t time) {
-  constexpr std::size_t kLongest = 32;
-  std::tm parts{};
-  gmtime_r(&time, &parts);
-  std::array<char, kLongest> text{};
-  const std::size_t size = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-  return {text.data(), size};
+/** Appends a number that is not below zero, with leading zeros up to that many digits. */
+void appendPadded(std::string& line, std::int64_t number, int digits) {
+  constexpr std::int64_t kBase = 10;
+  std::int64_t unit = 1;
+  for (int digit = 1; digit < digits; ++digit) {
+    unit *= kBase;
+  }
+  for (; unit > 0; unit /= kBase) {
+    line += static_cast<char>('0' + number / unit % kBase);
+  }
+}
+
+/**
+ * @return the time in UTC as RFC 3339 writes it, without the fraction of the second. Worked out
+ * here: the C library reads the machine's time zone for it, six system calls before a process's
+ * first line.
+ */
+std::string secondText(std::int64_t unix_second) {
+  const std::chrono::sys_seconds time{seconds(unix_second)};
+  const auto day = std::chrono::floor<std::chrono::days>(time);
+  const std::chrono::year_month_day date(day);
+  const std::chrono::hh_mm_ss clock(time - day);
+  std::string text;
+  appendPadded(text, static_cast<int>(date.year()), 4);
+  text += '-';
+  appendPadded(text, static_cast<unsigned>(date.month()), 2);
+  text += '-';
+  appendPadded(text, static_cast<unsigned>(date.day()), 2);
+  text += 'T';
+  appendPadded(text, clock.hours().count(), 2);
+  text += ':';
+  appendPadded(text, clock.minutes().count(), 2);
+  text += ':';
+  appendPadded(text, clock.seconds().count(), 2);
+  return text;
 }
 
 void appendNumber(std::string& line, std::int64_t number) {
@@ -117,9 +144,7 @@
   }
   line_ += second_text_;
   const std::int64_t fraction = now_ms % kMillisecondsInSecond;
-  line_ += static_cast<char>('0' + fraction / 100);
-  line_ += static_cast<char>('0' + fraction / 10 % 10);
-  line_ += static_cast<char>('0' + fraction % 10);
+  appendPadded(line_, fraction, 3);
   line_ += R"(Z","level":")";
 }
 
--- a/tests/runtime/json_log_line_test.cc
+++ b/tests/runtime/json_log_line_test.cc
@@ -75,6 +75,8 @@
   CHECK(time_of(1767409446070) == "2026-01-03T03:04:06.070Z");
   CHECK(time_of(1767323045001) == "2026-01-02T03:04:05.001Z");
   CHECK(time_of(0) == "1970-01-01T00:00:00.000Z");
+  CHECK(time_of(1709251199999) == "2024-02-29T23:59:59.999Z");
+  CHECK(time_of(1709251200000) == "2024-03-01T00:00:00.000Z");
 }
 
 TEST_CASE("each level has its name", "[log]") {
