--- a/src/runtime/metric_page.cc
+++ b/src/runtime/metric_page.cc
@@ -46,12 +46,15 @@
   }
 }
 
+/** In the order of their names, so that a value has one name whoever adds it. */
 void appendLabels(std::string& text, MetricLabels labels) {
   if (labels.size() == 0) {
     return;
   }
+  std::vector<std::pair<std::string_view, std::string_view>> sorted(labels);
+  std::sort(sorted.begin(), sorted.end());
   char separator = '{';
-  for (const auto& [name, value] : labels) {
+  for (const auto& [name, value] : sorted) {
     text += separator;
     text += name;
     text += "=\"";
--- a/tests/platform/packetd_start_test.cc
+++ b/tests/platform/packetd_start_test.cc
@@ -56,7 +56,7 @@
   Packetd daemon(store.address());
   const std::string settings = textOf(daemon.settingsFile());
   HeldSettings held;
-  daemon.start(held.path());
+  daemon.startWith(held.path());
   held.waitForReader();
   daemon.signal(signal);
   held.give(settings);
@@ -72,7 +72,7 @@
   Packetd daemon(store.address());
   const std::string settings = textOf(daemon.settingsFile());
   HeldSettings held;
-  daemon.start(held.path());
+  daemon.startWith(held.path());
   held.waitForReader();
   daemon.signal(SIGHUP);
   held.replaceBy(settings);
@@ -91,7 +91,7 @@
     Packetd daemon(store.address());
     const std::string settings = textOf(daemon.settingsFile());
     HeldSettings held;
-    daemon.start(held.path());
+    daemon.startWith(held.path());
     held.waitForReader();
     held.give(settings);
     std::this_thread::sleep_for(index * kStep);
@@ -133,7 +133,8 @@
   REQUIRE(::mkdtemp(folder.data()) != nullptr);
   const std::string program = folder + "/lugfork-packetd";
   std::filesystem::copy_file(LUGFORK_PACKETD, program);
-  daemon.start(daemon.settingsFile(), program);
+  daemon.setProgram(program);
+  daemon.start();
   CHECK(Packetd::eventually(
       [&] { return daemon.log().find("log_appender_missing") != std::string::npos; }));
   daemon.signal(SIGTERM);
--- a/tests/platform/soak/node_fleet.h
+++ b/tests/platform/soak/node_fleet.h
@@ -2,11 +2,14 @@
 
 #include <atomic>
 #include <list>
+#include <set>
 #include <thread>
 
 #include "platform/packetd_fixture.h"
 #include "platform/soak/open_connection.h"
 #include "platform/soak/promise_monitor.h"
+#include "platform/soak/slow_processor.h"
+#include "platform/soak/zone_cut.h"
 
 namespace lugfork::soak {
 
@@ -17,15 +20,18 @@
    * Starts the balancers, each at an address of its own.
    * @param packet_port of all of them, the number of the clients' port.
    */
-  NodeFleet(std::size_t count, std::uint16_t packet_port, Endpoint store, PromiseMonitor& monitor)
+  NodeFleet(std::size_t count, const std::vector<std::string>& zones, std::uint16_t packet_port,
+            Endpoint store, ZoneCut& zone_cut, PromiseMonitor& monitor)
       : monitor_(monitor) {
     const std::uint16_t peer_port = platform::TestSocket().address().port;
     std::vector<Endpoint> seeds;
     for (std::size_t index = 0; index < count; ++index) {
       Node& node = nodes_.emplace_back();
       const std::uint32_t address = kFirstAddress + static_cast<std::uint32_t>(index);
-      const platform::Packetd::PeerSettings peers{address, peer_port,
-                                                  Endpoint{address, packet_port}};
+      const platform::Packetd::PeerSettings peers{
+          address, peer_port, Endpoint{address, packet_port}, zones[index % zones.size()]};
+      node.zone = peers.zone;
+      zone_cut.addBalancer(address, peers.zone);
       node.process = std::make_unique<platform::Packetd>(store, seeds, peers);
       if (seeds.size() < kSeeds) {
         seeds.push_back(node.process->controlAddress());
@@ -45,21 +51,23 @@
   NodeFleet& operator=(const NodeFleet&) = delete;
 
   std::size_t size() const { return nodes_.size(); }
-  bool allReady() { return ready().size() == nodes_.size(); }
+  bool allReady() { return ready("").size() == nodes_.size(); }
 
   /**
    * @param flow a number of the packet's flow; the flow keeps its balancer while `holds`.
    * @param holds the router has not noticed yet that a balancer stops: the flow's packets go there
    * until its process is gone.
+   * @param zone of the client; empty where all balancers are its own.
    * @return where the packet goes; nothing where no balancer is ready.
    */
-  std::optional<Endpoint> pick(std::uint16_t flow, bool is_opening, bool holds) {
+  std::optional<Endpoint> pick(std::uint16_t flow, bool is_opening, bool holds,
+                               const std::string& zone) {
     const auto held = held_.find(flow);
     const bool keeps = held != held_.end() && !is_opening && holds && held->second->running;
     if (keeps) {
       return held->second->process->packetAddress();
     }
-    const std::vector<Node*> choices = ready();
+    const std::vector<Node*> choices = ready(zone);
     if (choices.empty()) {
       return std::nullopt;
     }
@@ -97,13 +105,17 @@
     at(target).paused = false;
   }
 
+  /** The balancer's processor is slow, also that of its next process. */
+  void slowDown(std::uint32_t target) { slow_processor_.slowDown(*at(target).process); }
+  void endSlowness(std::uint32_t target) { slow_processor_.setFree(*at(target).process); }
+
   /** Sends SIGTERM, once more to a balancer that is about to stop. */
   void stop(std::uint32_t target) {
     Node& node = at(target);
     if (!node.running || node.paused) {
       return;
     }
-    node.process->signal(SIGTERM);
+    signal(node, SIGTERM);
     if (!std::exchange(node.stopping, true)) {
       node.stopping_since = SoakClock::now();
     }
@@ -111,7 +123,7 @@
 
   void reload(std::uint32_t target) {
     if (at(target).running) {
-      at(target).process->signal(SIGHUP);
+      signal(at(target), SIGHUP);
     }
   }
 
@@ -123,7 +135,7 @@
       }
       if (const auto exit_code = node.process->tryWait()) {
         node.stopping = false;
-        if (endedBeforeItWasUp(node, *exit_code)) {
+        if (endedBeforeItBegan(node, *exit_code)) {
           ++ended_while_starting_;
           start(node);
           continue;
@@ -136,7 +148,7 @@
     }
   }
 
-  /** @return balancers that a signal ended before their program could take it. */
+  /** @return balancers that a signal ended before the first line of their program. */
   std::size_t endedWhileStarting() const { return ended_while_starting_; }
 
   /** @return the most memory that the processes that run now have used together [KB]. */
@@ -155,12 +167,13 @@
  private:
   struct Node {
     std::unique_ptr<platform::Packetd> process;
+    std::string zone;
     bool running = false;
     bool stopping = false;
     bool paused = false;
     std::atomic<bool> ready = false;
-    /** Since its last start. */
-    std::atomic<bool> has_been_ready = false;
+    /** Signals that came since its last start, before its program held or handled them. */
+    std::set<int> signals_before_it_began;
     SoakTime stopping_since;
   };
 
@@ -172,17 +185,23 @@
   /** Balancers whose connections are used: a thread can use a few at a time. */
   static constexpr std::size_t kConnectionsUsed = 6;
 
+  static void signal(Node& node, int number) {
+    if (!node.process->holdsOrHandles(number)) {
+      node.signals_before_it_began.insert(number);
+    }
+    node.process->signal(number);
+  }
+
   /**
-   * A signal that comes before a program has set its handlers ends it by the system's own default.
-   * Such a balancer has served nobody; only these two signals excuse it.
+   * A signal ends a process by the system's own default where not one line of its program has run:
+   * nothing was accepted, no flow is open. Any other end by a signal is a breach.
    */
-  static bool endedBeforeItWasUp(const Node& node, int exit_code) {
-    const bool by_own_signal = exit_code == -SIGTERM || exit_code == -SIGHUP;
-    return by_own_signal && !node.has_been_ready;
+  static bool endedBeforeItBegan(const Node& node, int exit_code) {
+    return node.signals_before_it_began.contains(-exit_code);
   }
 
   static void start(Node& node) {
-    node.has_been_ready = false;
+    node.signals_before_it_began.clear();
     node.process->start();
     node.running = true;
   }
@@ -191,10 +210,10 @@
     return *std::next(nodes_.begin(), static_cast<std::ptrdiff_t>(target % nodes_.size()));
   }
 
-  std::vector<Node*> ready() {
+  std::vector<Node*> ready(const std::string& zone) {
     std::vector<Node*> ready;
     for (Node& node : nodes_) {
-      if (node.ready) {
+      if (node.ready && (zone.empty() || node.zone == zone)) {
         ready.push_back(&node);
       }
     }
@@ -206,7 +225,6 @@
     while (!ended_) {
       for (Node& node : nodes_) {
         node.ready = node.process->readyStatus() == 200;
-        node.has_been_ready = node.has_been_ready || node.ready;
       }
       std::this_thread::sleep_for(kReadinessInterval);
     }
@@ -241,6 +259,7 @@
   std::atomic<bool> ended_ = false;
   std::atomic<std::size_t> answered_on_connections_ = 0;
   std::atomic<std::size_t> connections_cut_short_ = 0;
+  SlowProcessor slow_processor_;
   std::thread readiness_poller_;
   std::thread connection_user_;
 };
