--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -40,6 +40,8 @@
       decider_(settings_.decider, time_source, placement_, *this),
       observer_(settings_.observer, time_source),
       silence_(settings_.silence, time_source, log),
+      evidence_(settings_.evidence, silence_, time_source, log),
+      reporter_(EvidenceReporterSettings(), settings_.zone, silence_, evidence_, time_source),
       response_times_(settings_.response_times, time_source),
       locality_(localitySettingsOf(settings_), time_source, log),
       tokens_(settings_.token_key),
@@ -53,7 +55,9 @@
   placement_.setColdServerLimit(&cold_limit_);
   placement_.setLocality(&locality_);
   if (settings_.uses.pass_over_suspects) {
-    placement_.setSuspicion(&silence_);
+    const BackendSuspicion& own = silence_;
+    const BackendSuspicion& shared = evidence_;
+    placement_.setSuspicion(settings_.uses.share_evidence ? &shared : &own);
   }
   if (settings_.uses.weigh_by_speed) {
     placement_.setSpeed(&response_times_);
@@ -95,6 +99,11 @@
   return {follower_.revision(), follower_.age()};
 }
 
+std::optional<DeathEvidence> PacketNode::deathByOthers(BackendId backend,
+                                                       std::uint16_t repetitions) const {
+  return settings_.uses.share_evidence ? evidence_.deathOf(backend, repetitions) : std::nullopt;
+}
+
 void PacketNode::onHandshake(Duration duration) {
   if (on_handshake_) {
     on_handshake_(duration);
@@ -245,6 +254,10 @@
   if (!changes.removed.empty()) {
     forgetRemoved();
   }
+  if (settings_.uses.share_evidence) {
+    evidence_.onConfigurationChanged(changes, *registry_.configuration());
+    reporter_.setConfiguration(*registry_.configuration());
+  }
   return changes.backends.size() + changes.removed.size() + registry_.counters().routes_made -
          routes_before;
 }
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -151,6 +151,33 @@
   }
 }
 
+void addEvidence(MetricPage& page, const PacketNode& node, const EvidenceExchange& exchange) {
+  const EvidenceExchangeCounters& counters = exchange.counters();
+  const EvidenceCollectorCounters& summed = exchange.collectorCounters();
+  const char* help = "Messages between balancers about silent servers.";
+  const auto add_messages = [&](const char* kind, std::uint64_t count) {
+    page.addCounter("lugfork_evidence_messages_total", help, count, {{"kind", kind}});
+  };
+  add_messages("report_sent", counters.reports_sent);
+  add_messages("report_received", summed.reports);
+  add_messages("report_left_out", summed.reports_left_out);
+  add_messages("report_of_other_zone", counters.reports_of_other_zones);
+  add_messages("digest_sent", summed.digests);
+  add_messages("digest_received", counters.digests_received);
+  add_messages("digest_of_other_zone", counters.digests_of_other_zones);
+  const char* suspects = "Servers that look silent, by who has seen it.";
+  page.addGauge("lugfork_suspect_servers", suspects, static_cast<double>(node.suspectsBySelf()),
+                {{"seen_by", "self"}});
+  page.addGauge("lugfork_suspect_servers", suspects,
+                static_cast<double>(node.sharedEvidence().suspectsByOthers()),
+                {{"seen_by", "others"}});
+  page.addGauge("lugfork_zones_out_of_reach", "Zones none of whose servers can be reached.",
+                static_cast<double>(node.sharedEvidence().zonesOutOfReach()));
+  page.addCounter("lugfork_resets_by_others_total",
+                  "Open flows reset by what other balancers have seen.",
+                  node.packetCounters().resets_by_others);
+}
+
 }  // namespace
 
 PacketMetrics::PacketMetrics()
@@ -174,6 +201,9 @@
     addPeerSocket(page, *figures.peer_socket, *figures.view_client);
   }
   addControlWork(page, node.controlWork());
+  if (figures.evidence != nullptr) {
+    addEvidence(page, node, *figures.evidence);
+  }
   addCounter(page, "lugfork_platform_records_invalid_total", "Items that can't be read.",
              node.counters().records_invalid);
   addCounter(page, "lugfork_log_lines_left_out_total", "Log lines left out by the limit.",
--- a/src/runtime/packet_metrics.h
+++ b/src/runtime/packet_metrics.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "balancer/packet_node.h"
+#include "discovery/evidence_exchange.h"
 #include "discovery/upstream_source.h"
 #include "flow/packet_codec.h"
 #include "runtime/metric_page.h"
@@ -31,6 +32,8 @@
   std::uint64_t log_lines_left_out = 0;
   /** When a packet was first forwarded, as machineTime() counts; unset before. */
   std::optional<Duration> first_packet_at;
+  /** Unset where the node shares no evidence of silent servers. */
+  const EvidenceExchange* evidence = nullptr;
 };
 
 /** Latency histograms that are filled while the node runs, and the page with all figures. */
--- a/tests/balancer/control_work_test.cc
+++ b/tests/balancer/control_work_test.cc
@@ -20,7 +20,7 @@
   record.address = addressOf(number);
   record.slots = 2;
   record.state = state;
-  return {kPrefix + "servers/" + std::to_string(100000 + number),
+  return {kPrefix + "endpoints/" + std::to_string(100000 + number),
           encodeRecord(PlatformRecord(record)), revision, revision};
 }
 
--- a/tests/discovery/live_configuration_test.cc
+++ b/tests/discovery/live_configuration_test.cc
@@ -61,7 +61,7 @@
     ++revision;
     time.elapsed += milliseconds(below(4000));
     const std::uint32_t number = below(30);
-    const std::string key = "servers/" + std::to_string(number);
+    const std::string key = "endpoints/" + std::to_string(number);
     const auto known = servers.find(key);
     const bool is_there = known != servers.end() && !known->second.retired;
     switch (below(8)) {
