--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -171,7 +171,7 @@
   if (evidence_exchange_ != nullptr) {
     evidence_exchange_->start();
   }
-  // While the first view is on its way: the servers' threads take a tenth of the start's time.
+  // While the first view is on its way: nobody is sent here before it is whole.
   startServers();
   io_context_.run();
   closeWhileServing(io_context_, ready_server_);
--- a/tests/platform/packetd_fixture.h
+++ b/tests/platform/packetd_fixture.h
@@ -160,6 +160,9 @@
   Packetd(const Packetd&) = delete;
   Packetd& operator=(const Packetd&) = delete;
 
+  /** Starts another copy of the program from now on. */
+  void setProgram(const std::string& program) { program_ = program; }
+
   /** @param flags besides the settings file. */
   void start(const std::vector<std::string>& flags = {}) { startWith(settings_file_, flags); }
 
@@ -168,7 +171,7 @@
    * the test's own copy.
    */
   void startWith(const std::string& settings_file, const std::vector<std::string>& flags = {}) {
-    std::vector<const char*> arguments{LUGFORK_PACKETD, "--settings", settings_file.c_str()};
+    std::vector<const char*> arguments{program_.c_str(), "--settings", settings_file.c_str()};
     for (const std::string& flag : flags) {
       arguments.push_back(flag.c_str());
     }
@@ -184,7 +187,7 @@
       }
       const int log = ::open(log_file_.c_str(), O_WRONLY | O_APPEND);
       ::dup2(log, STDOUT_FILENO);
-      ::execv(LUGFORK_PACKETD, const_cast<char* const*>(arguments.data()));
+      ::execv(program_.c_str(), const_cast<char* const*>(arguments.data()));
       _exit(127);
     }
     ::close(until_exec[1]);
@@ -304,6 +307,7 @@
   Endpoint ready_;
   Endpoint control_;
   Endpoint packet_;
+  std::string program_ = LUGFORK_PACKETD;
   std::string settings_file_;
   std::string log_file_;
   /** Other threads send signals too: not to a process whose number is free again. */
--- a/tests/runtime/metric_page_test.cc
+++ b/tests/runtime/metric_page_test.cc
@@ -20,6 +20,8 @@
   addGauge(registry, "small", "Small.", 0.00001);
   addGauge(registry, "difference", "Below zero.", -3.5);
   addGauge(registry, "upstream", "With a label.", 1, {{"kind", "a \"b\" \\ c\nd"}});
+  addGauge(registry, "placed", "Labels out of order.", 2,
+           {{"zone", "own"}, {"cause", "none"}, {"service", "s"}});
 
   MetricPage page;
   page.addCounter("packets_total", "Packets.", std::uint64_t{0});
@@ -29,6 +31,8 @@
   page.addGauge("small", "Small.", 0.00001);
   page.addGauge("difference", "Below zero.", -3.5);
   page.addGauge("upstream", "With a label.", 1, {{"kind", "a \"b\" \\ c\nd"}});
+  page.addGauge("placed", "Labels out of order.", 2,
+                {{"zone", "own"}, {"cause", "none"}, {"service", "s"}});
   CHECK(page.text() == prometheus::TextSerializer().Serialize(registry.Collect()));
 }
 
