--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -101,11 +101,11 @@
   for (const Service& service : node.configuration()->document().services) {
     const LocalityCounters counters = locality.counters(service.id);
     page.addCounter("lugfork_flows_placed_total", help, counters.own_zone,
-                    {{"service", service.name}, {"zone", "own"}, {"cause", "none"}});
+                    {{"cause", "none"}, {"service", service.name}, {"zone", "own"}});
     for (std::size_t index = 0; index < std::size(counters.beyond); ++index) {
       const std::string_view cause = toString(static_cast<OverflowCause>(index));
       page.addCounter("lugfork_flows_placed_total", help, counters.beyond[index],
-                      {{"service", service.name}, {"zone", "beyond"}, {"cause", cause}});
+                      {{"cause", cause}, {"service", service.name}, {"zone", "beyond"}});
     }
     page.addGauge("lugfork_own_zone_share",
                   "Share of new flows that stays in the own zone, by slots and weight.",
