--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -7,6 +7,12 @@
 namespace {
 
 constexpr Duration kCleanupInterval = seconds(10);
+/**
+ * Changes in one answer of which each server gets a log line of its own; more are told as lists. A
+ * line takes some 10 us of processor time: of 300 to 700 at once packets waited 135 to 197 ms on a
+ * node with 0.027 of a core.
+ */
+constexpr std::size_t kMostChangesInLines = 20;
 constexpr Duration kComparisonInterval = milliseconds(500);
 
 PlacementSettings placementSettingsOf(const PacketNodeSettings& settings) {
@@ -122,9 +128,16 @@
 
 void PacketNode::onItems(const std::vector<ItemChange>& changes) {
   work_.measure(ControlWork::Items, [&] {
+    const bool is_batch = changes.size() > kMostChangesInLines;
+    if (is_batch) {
+      registry_.beginBatch();
+    }
     for (const ItemChange& change : changes) {
       onChange(change);
     }
+    if (is_batch) {
+      registry_.endBatch();
+    }
     return static_cast<std::uint64_t>(changes.size());
   });
   applySoon();
--- a/src/discovery/backend_registry.cc
+++ b/src/discovery/backend_registry.cc
@@ -21,6 +21,24 @@
   return state == ServerState::Ready ? "ready" : "draining";
 }
 
+std::string stateText(const std::string& name, const char* state) {
+  return name + "=" + state;
+}
+
+/** @return the texts with a blank between them, a few dozen to a line. */
+std::vector<std::string> linesOf(const std::vector<std::string>& texts) {
+  std::vector<std::string> lines;
+  for (std::size_t index = 0; index < texts.size(); ++index) {
+    if (index % kServersInLine == 0) {
+      lines.emplace_back();
+    } else {
+      lines.back() += ' ';
+    }
+    lines.back() += texts[index];
+  }
+  return lines;
+}
+
 /** @return the id of a name; names get ids in the order in which they are first met. */
 template <typename Id>
 Id internedId(std::map<std::string, Id>& ids, const std::string& name) {
@@ -52,7 +70,7 @@
   missing_.erase(key);
   touch(server);
   retireMissingAt(record.address);
-  if (state_changed && logs_servers_) {
+  if (state_changed && logs_servers_ && !collectState(server, nameOf(record.state), revision)) {
     log_.write(LogLevel::Info, "discovery", "backend_state",
                {{"backend", record.name},
                 {"backend_id", server.id.value()},
@@ -142,6 +160,9 @@
   server.retired_at = time_source_.monotonicTime();
   server.missing_since = 0;
   touch(server);
+  if (collectState(server, "retired", revision)) {
+    return;
+  }
   log_.write(LogLevel::Info, "discovery", "backend_state",
              {{"backend", server.record.name},
               {"backend_id", server.id.value()},
@@ -210,17 +231,29 @@
 }
 
 std::vector<std::string> BackendRegistry::snapshotLines() const {
-  std::vector<std::string> lines;
-  std::size_t count = 0;
+  std::vector<std::string> states;
+  states.reserve(servers_.size());
   for (const auto& [key, server] : servers_) {
-    if (count++ % kServersInLine == 0) {
-      lines.emplace_back();
-    } else {
-      lines.back() += ' ';
-    }
-    lines.back() += server.record.name + "=" + nameOf(server.record.state);
+    states.push_back(stateText(server.record.name, nameOf(server.record.state)));
+  }
+  return linesOf(states);
+}
+
+bool BackendRegistry::collectState(const Server& server, const char* state, Revision revision) {
+  if (!is_batch_) {
+    return false;
+  }
+  batch_states_.push_back(stateText(server.record.name, state));
+  batch_revision_ = std::max(batch_revision_, revision);
+  return true;
+}
+
+void BackendRegistry::endBatch() {
+  is_batch_ = false;
+  for (const std::string& line : linesOf(std::exchange(batch_states_, {}))) {
+    log_.write(LogLevel::Info, "discovery", "backend_states",
+               {{"revision", batch_revision_}, {"backends", line}});
   }
-  return lines;
 }
 
 bool BackendRegistry::forgetRetired() {
--- a/src/discovery/backend_registry.h
+++ b/src/discovery/backend_registry.h
@@ -65,6 +65,12 @@
    */
   void setLogsServers(bool logs) { logs_servers_ = logs; }
 
+  /** Until endBatch() the states that change are collected, and not logged one by one. */
+  void beginBatch() { is_batch_ = true; }
+
+  /** Logs the collected states as lists, a few dozen servers to a line. */
+  void endBatch();
+
   /** How many servers are known in which state. */
   struct Summary {
     std::uint64_t ready = 0;
@@ -115,6 +121,8 @@
   /** Takes missing servers at the address for gone: another server has it now. */
   void retireMissingAt(Endpoint address);
   void retire(Server& server, Revision revision);
+  /** @return true where the state is collected for the batch's lists. */
+  bool collectState(const Server& server, const char* state, Revision revision);
 
   /** Notes that the back end with the server's id must be made anew. */
   void touch(const Server& server) { touched_.insert(server.id); }
@@ -154,6 +162,10 @@
   std::map<std::string, ZoneId> zone_ids_;
   std::set<std::uint64_t> reported_clashes_;
   bool logs_servers_ = true;
+  bool is_batch_ = false;
+  /** States that have changed in this batch, as "name=state". */
+  std::vector<std::string> batch_states_;
+  Revision batch_revision_ = 0;
   /** What has changed since the last update. */
   std::unordered_set<BackendId> touched_;
   bool routes_touched_ = false;
--- a/src/explain/story.cc
+++ b/src/explain/story.cc
@@ -34,9 +34,9 @@
     return (id && ids.contains(*id)) || names.contains(line.text("backend")) || isInSnapshot(line);
   }
 
-  /** A snapshot's line lists back ends as "name=state name=state ...". */
+  /** A line of a snapshot or of many changes lists back ends as "name=state name=state ...". */
   bool isInSnapshot(const LogLine& line) const {
-    if (line.event != "backend_snapshot") {
+    if (line.event != "backend_snapshot" && line.event != "backend_states") {
       return false;
     }
     const std::string listed = " " + line.text("backends");
--- a/tests/balancer/control_work_test.cc
+++ b/tests/balancer/control_work_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "balancer/packet_node.h"
 #include "discovery/discovery_fixture.h"
@@ -34,6 +35,22 @@
   return {kPrefix + "routes", encodeRecord(PlatformRecord(table)), revision, 1};
 }
 
+/** Counts the lines of each event. */
+class CountingLog : public EventLog {
+ public:
+  void write(LogLevel, std::string_view, std::string_view event,
+             std::initializer_list<LogField>) override {
+    ++lines_[std::string(event)];
+  }
+  std::size_t lines(const std::string& event) const {
+    const auto found = lines_.find(event);
+    return found == lines_.end() ? 0 : found->second;
+  }
+
+ private:
+  std::map<std::string, std::size_t> lines_;
+};
+
 struct LargeNode : PacketSender {
   LargeNode() {
     node.start();
@@ -70,7 +87,7 @@
   ManualTimeSource time;
   ManualScheduler scheduler{time};
   ManualSource source;
-  NullEventLog log;
+  CountingLog log;
   CompactRecordDecoder decoder;
   std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
   PacketNode node{PacketNodeSettings(),
@@ -99,6 +116,25 @@
   CHECK(large.node.candidatesMade() <= candidates_before + 1);
 }
 
+TEST_CASE("many changes at once are told as lists, a few with a line each", "[control_work]") {
+  LargeNode large;
+  constexpr std::uint32_t kFew = 3;
+  std::vector<ItemChange> changes;
+  for (std::uint32_t number = 0; number < kFew; ++number) {
+    changes.push_back({serverItem(number, 11, ServerState::Draining), false});
+  }
+  large.change(changes);
+  CHECK(large.log.lines("backend_state") == kFew);
+  CHECK(large.log.lines("backend_states") == 0);
+  constexpr std::uint32_t kMany = 600;
+  for (std::uint32_t number = kFew; number < kMany; ++number) {
+    changes.push_back({serverItem(number, 12, ServerState::Draining), false});
+  }
+  large.change(changes);
+  CHECK(large.log.lines("backend_state") == kFew);
+  CHECK(large.log.lines("backend_states") == (kMany - kFew + 39) / 40);
+}
+
 TEST_CASE("new routes make no back end", "[control_work]") {
   LargeNode large;
   const BackendRegistryCounters before = large.node.registryCounters();
--- a/tests/explain/story_test.cc
+++ b/tests/explain/story_test.cc
@@ -45,6 +45,17 @@
                   R"(,"flow":")" + kFlow + R"(","backend":"i-1","backend_id":9)");
 }
 
+TEST_CASE("a back end's story names the lists that hold it, of a view and of many changes",
+          "[explain]") {
+  const std::string listed = R"(,"backends":"i-1=ready i-2=draining","revision":7)";
+  const std::string others = R"(,"backends":"i-11=ready","revision":8)";
+  const auto lines = parse({lineText("01.000", "n1", "backend_snapshot", listed),
+                            lineText("02.000", "n2", "backend_states", listed),
+                            lineText("03.000", "n2", "backend_states", others)});
+  CHECK(eventsOf(tellStory(lines, {"", "i-1", 0})) ==
+        std::vector<std::string>{"n1 backend_snapshot", "n2 backend_states"});
+}
+
 TEST_CASE("a line is read back, also behind what a collector put before it", "[explain]") {
   const auto line = parseLogLine("  12.34 n1 " + placed("05.678", "n1"));
   REQUIRE(line.has_value());
