--- a/src/balancer/control_work_meter.cc
+++ b/src/balancer/control_work_meter.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** Processor time from which a slice is logged: what packets may have to wait for (wanted). */
+/** Processor time from which a slice is logged: packets have to wait for so long, or longer. */
 constexpr Duration kLongSlice = milliseconds(5);
 
 }  // namespace
--- a/src/balancer/control_work_meter.h
+++ b/src/balancer/control_work_meter.h
@@ -7,7 +7,7 @@
 
 namespace lugfork {
 
-/** Kinds of work beside the data path that grow with what is told. */
+/** Kinds of work beside the data path that grow with the items read and changed. */
 enum class ControlWork : std::uint8_t {
   /** Items are read and noted: a first view, or changes. */
   Items,
@@ -56,6 +56,7 @@
 
  private:
   Duration used() const { return clock_ == nullptr ? Duration::zero() : clock_->used(); }
+  /** Adds one slice to the costs, and logs a long one. */
   void note(ControlWork kind, std::uint64_t units, Duration processor);
 
   EventLog& log_;
--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -259,6 +259,11 @@
 std::uint64_t PacketNode::updateConfiguration() {
   const std::uint64_t routes_before = registry_.counters().routes_made;
   const ConfigurationChanges changes = registry_.updateConfiguration();
+  // Before placement takes new servers in: it asks whether their zones can be reached.
+  if (settings_.uses.share_evidence) {
+    evidence_.onConfigurationChanged(changes, *registry_.configuration());
+    reporter_.setConfiguration(*registry_.configuration());
+  }
   if (decider_.configuration() == nullptr) {
     decider_.setConfiguration(registry_.configuration());
   } else {
@@ -267,10 +272,6 @@
   if (!changes.removed.empty()) {
     forgetRemoved();
   }
-  if (settings_.uses.share_evidence) {
-    evidence_.onConfigurationChanged(changes, *registry_.configuration());
-    reporter_.setConfiguration(*registry_.configuration());
-  }
   return changes.backends.size() + changes.removed.size() + registry_.counters().routes_made -
          routes_before;
 }
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -117,11 +117,11 @@
   void setProcessorClock(const ProcessorClock& clock) { work_.setClock(clock); }
   const ControlWorkMeter& controlWork() const { return work_; }
 
-  /** @return what is believed of silent servers by the word of others, to be fed by an exchange. */
+  /** @return what others report of silent servers; an EvidenceExchange feeds it. */
   SharedEvidence& sharedEvidence() { return evidence_; }
   const SharedEvidence& sharedEvidence() const { return evidence_; }
   EvidenceReporter& evidenceReporter() { return reporter_; }
-  /** @return servers that look silent by what this node itself has seen. */
+  /** @return number of servers that look silent by what this node itself has seen. */
   std::size_t suspectsBySelf() const { return silence_.observations().size(); }
 
   const PacketCounters& packetCounters() const { return router_.counters(); }
@@ -167,7 +167,7 @@
   void scheduleRetirement();
   void applySoon();
   void apply();
-  /** @return the back ends and routes that have changed. */
+  /** @return number of back ends and routes that have changed. */
   std::uint64_t updateConfiguration();
   void forgetRemoved();
   void scheduleCleanup();
--- a/src/config/live_configuration.h
+++ b/src/config/live_configuration.h
@@ -10,10 +10,11 @@
 
 /** How a LiveConfiguration differs from what it was before. */
 struct ConfigurationChanges {
-  /** Zones, services or the zones that services may use differ: what was made of them is void. */
+  /** Zones, services or the zones that services may use differ: data made of them must be made
+   * anew. */
   bool services = false;
   bool routes = false;
-  /** Back ends that are new or differ; they stand where they stood. */
+  /** Back ends that are new or differ; pointers to those that differ stay valid. */
   std::vector<const Backend*> backends;
   /** Back ends that are gone; kept until all who hold pointers have let go of them. */
   std::vector<std::unique_ptr<const Backend>> removed;
--- a/src/config/resources.h
+++ b/src/config/resources.h
@@ -54,7 +54,7 @@
   bool retired = false;
   /** Until then it is warming up after its start and bears fewer flows; unset for warm. */
   MonotonicTime cold_until;
-  /** New flows a second that it bears while cold; 0 where no limit is told. */
+  /** New flows a second that it bears while cold; 0 for no limit. */
   double cold_flows_per_second = 0;
   /** Identifies this start of the server where the platform tells it; else 0. */
   std::uint64_t incarnation = 0;
@@ -89,7 +89,7 @@
 struct Route {
   Endpoint address;
   std::vector<RouteTarget> targets;
-  /** Callers send large requests: what crosses zones is dear. */
+  /** Callers send large requests, for which traffic between zones is expensive. */
   bool bulk = false;
   bool operator==(const Route&) const = default;
 
--- a/src/discovery/backend_registry.cc
+++ b/src/discovery/backend_registry.cc
@@ -54,7 +54,7 @@
 
 void BackendRegistry::onServer(const std::string& key, const ServerRecord& record,
                                Revision revision, Revision created) {
-  // A first view tells servers in the order of their keys.
+  // A first view comes in the order of the keys: appending spares the search in the map.
   const bool comes_last = servers_.empty() || std::prev(servers_.end())->first < key;
   Server& server = comes_last ? servers_.try_emplace(servers_.end(), key)->second : servers_[key];
   const bool state_changed = server.revision == 0 || server.retired ||
@@ -87,6 +87,7 @@
   if (found == servers_.end() || found->second.retired) {
     return;
   }
+  missing_.erase(key);
   retire(found->second, revision);
 }
 
--- a/src/discovery/evidence_collector.cc
+++ b/src/discovery/evidence_collector.cc
@@ -11,19 +11,21 @@
 
 /** IP and UDP headers, the tag, the type and the fields beside servers and the zone's name. */
 constexpr std::size_t kHeaderBytes = 28 + 16 + 18;
-/** A digest waits until it may hold some servers: its headers take as much as ten. */
+/** A digest waits until it may hold some eight servers: its headers take as much as these. */
 constexpr double kLeastBytes = 130;
-/** Time for which an answer after repetitions is told. */
+/** Time for which the most repetitions before an answer go into digests. */
 constexpr Duration kSurvivedFor = seconds(60);
-/** More reporters and flows are counted no further. */
+/** Reporters and flows are counted up to here, so that they fit into a byte. */
 constexpr std::uint8_t kMostCounted = 200;
-/** Counts from which a receiver decides otherwise: it passes a server over, or takes it for dead.
+/**
+ * Counts from which a receiver with default SharedEvidenceSettings passes a server over, or takes
+ * it for dead. Changes up to these are sent at once, changes above them with the next repeat.
  */
 constexpr std::uint8_t kReportersThatMatter = 2;
 constexpr std::uint8_t kFlowsThatMatter = 3;
 constexpr std::uint8_t kRepetitionsThatMatter = 4;
 
-/** @return what of a sum receivers decide by: they are told again when it changes. */
+/** @return what receivers decide by: a server goes into digests again when this changes. */
 std::tuple<int, bool, int> decisiveOf(const SummedSilence& summed) {
   const bool has_flows = summed.seen.flows >= kFlowsThatMatter;
   return {std::min(summed.reporters, kReportersThatMatter), has_flows,
@@ -165,7 +167,8 @@
   }
   digest.zone = zone_;
   digest.survived_repetitions = survived_;
-  const double for_servers = subscriber.bytes_left - static_cast<double>(wireBytesOf(digest));
+  const double for_servers =
+      std::max(0.0, subscriber.bytes_left - static_cast<double>(wireBytesOf(digest)));
   const auto most = static_cast<std::size_t>(for_servers / SummedSilence::kPackedBytes);
   subscriber.version =
       addNewerThan(subscriber.version, std::min(most, kMaxServersInEvidence), digest);
--- a/src/discovery/evidence_collector.h
+++ b/src/discovery/evidence_collector.h
@@ -18,18 +18,18 @@
   /** Largest share of the servers near a reporter that it may name; else its own path is at fault.
    */
   double max_silent_share = 0.5;
-  /** Servers in use from which that share tells anything. */
+  /** Servers in use from which that share is judged: of one or two, all may be silent. */
   std::size_t servers_to_judge = 3;
-  /** Time after its last report for which a balancer is told of changes. */
+  /** Time after its last report for which a balancer gets digests. */
   Duration subscription = seconds(5);
   /** Shortest time between two digests to one balancer. */
   Duration digest_gap = milliseconds(200);
-  /** A server that is silent still is told again after this long, so that it stays believed. */
+  /** A server that is still silent is sent again after this long, before receivers forget it. */
   Duration repeat_after = milliseconds(700);
   /** Bytes a second to one balancer, and at once: with its reports under a kilobyte a second. */
   double bytes_per_second = 450;
   double burst_bytes = 600;
-  /** Balancers that are told at most: more than a zone of a fleet of 400 holds. */
+  /** Balancers that get digests at most: more than a zone of a fleet of 400 holds. */
   std::size_t max_subscribers = 150;
 };
 
@@ -85,7 +85,7 @@
   struct Server {
     std::map<Endpoint, Seen> by_reporter;
     MonotonicTime life_at;
-    /** When what is told of it last changed; what is newer than a subscriber's is told to it. */
+    /** Version of the last change to be sent; a subscriber gets all newer than its own. */
     std::uint64_t version = 0;
     /** As it was when it changed last. */
     SummedSilence told;
@@ -103,7 +103,9 @@
   };
 
   void take(const EvidenceReport& report, Endpoint from);
+  /** @return true where the report names so many servers that the reporter's path is at fault. */
   bool isAboutItself(const EvidenceReport& report) const;
+  /** Drops all that the reporter has named, and logs it. */
   void leaveOut(Endpoint reporter);
   void noteSilence(const ServerSilence& silent, Endpoint from);
   void noteLife(BackendId backend, MonotonicTime life_at);
--- a/src/discovery/evidence_exchange.h
+++ b/src/discovery/evidence_exchange.h
@@ -18,14 +18,14 @@
 
 /** Tunables of an EvidenceExchange. */
 struct EvidenceExchangeSettings {
-  /** Time between looks at what is new; twice this passes from one node's loss to all others. */
+  /** Time between checks for news; news reaches all of a zone after some two of these. */
   Duration interval = milliseconds(100);
   /**
    * Balancers of the own zone that sum for this one. A second one would halve the news that fits
    * into the bytes; without it news pauses for `answer_patience` when the one stops.
    */
   std::size_t collectors = 1;
-  /** Balancers whose zone is not known yet that get one report; those of other zones answer so. */
+  /** Balancers whose zone is not known yet that get one report; their answers name their zone. */
   std::size_t unknown_at_once = 4;
   /** Time after which a balancer that did not answer a report is left alone, and for how long. */
   Duration answer_patience = seconds(1);
@@ -41,15 +41,16 @@
 struct EvidenceExchangeCounters {
   std::uint64_t reports_sent = 0;
   std::uint64_t digests_received = 0;
-  /** Messages of other zones: they tell nothing that holds here. */
+  /** Messages from other zones, not used: evidence holds for the zone that it was seen from. */
   std::uint64_t reports_of_other_zones = 0;
   std::uint64_t digests_of_other_zones = 0;
 };
 
 /**
- * Carries evidence within a zone: each balancer tells what is new to the strongest of its zone,
- * which sum it and tell all that reported. Which balancers run in the own zone is learnt from their
- * answers. Nothing is sent while nothing is silent.
+ * Carries evidence within a zone: each balancer reports what is new to the best of its zone in
+ * PeerDirectory::ranked(), which sums all reports and sends digests to those that reported. Which
+ * balancers run in the own zone is learnt from their answers. Nothing is sent while nothing is
+ * silent.
  */
 class EvidenceExchange : public EvidenceReceiver {
  public:
@@ -84,7 +85,7 @@
 
   void tick();
   void report();
-  /** @return whom to tell: the strongest of the own zone, and some whose zone is not known. */
+  /** @return who gets reports: the best of the own zone, and some whose zone is not known. */
   std::vector<Endpoint> recipients();
   void forgetOld();
   bool isSilent(const Candidate& candidate) const;
--- a/src/flow/evidence_reporter.cc
+++ b/src/flow/evidence_reporter.cc
@@ -6,9 +6,9 @@
 
 namespace {
 
-/** More flows and repetitions of one server make no difference. */
+/** More flows and repetitions of one server make no difference, and this fits into a byte. */
 constexpr std::size_t kMostCounted = 200;
-/** Time after which it is forgotten that a sign of life was told. */
+/** Time after which it is forgotten that a sign of life was reported, to bound the memory. */
 constexpr Duration kLifeReportedFor = seconds(10);
 
 }  // namespace
@@ -93,7 +93,8 @@
   const MonotonicTime now = time_source_.monotonicTime();
   for (const ZoneId zone : shared_.zonesInDoubt()) {
     const MonotonicTime objected_at = std::max(objected_at_[zone], shared_.objectedAt(zone));
-    if (now - objected_at < settings_.objection_gap) {
+    const bool is_full = report.alive.size() >= kMaxServersInEvidence;
+    if (is_full || now - objected_at < settings_.objection_gap) {
       continue;
     }
     const BackendId answering = lastToAnswer(zone);
--- a/src/flow/evidence_reporter.h
+++ b/src/flow/evidence_reporter.h
@@ -8,7 +8,7 @@
 struct EvidenceReporterSettings {
   /** A server that is silent still is named again after this long, so that it stays believed. */
   Duration repeat_after = milliseconds(500);
-  /** Shortest time between two signs of life of one server that are told. */
+  /** Shortest time between two reported signs of life of one server. */
   Duration life_gap = milliseconds(200);
   /** Shortest time between two objections to a zone's being suspect, by anybody: half of the time
    * for which one counts. */
@@ -34,13 +34,16 @@
   const std::string& zone() const { return zone_; }
 
  private:
+  /** Adds silent servers with news, and those reported before that have answered since. */
   void addSilent(EvidenceReport& report);
+  /** Adds servers that others report as silent and that have answered this node since. */
   void addAlive(EvidenceReport& report);
   /** Objects to a zone's being out of reach, by one of its servers. */
   void addAliveZones(EvidenceReport& report);
   /** @return the zone's server that answered this node last, within the gap; unset for none. */
   BackendId lastToAnswer(ZoneId zone) const;
   void addLife(EvidenceReport& report, BackendId backend, MonotonicTime life_at);
+  /** Adds how many servers are in use and silent: of the own zone, or of all where it has none. */
   void addUse(EvidenceReport& report) const;
   bool isNew(const SilenceObservation& seen) const;
 
--- a/src/flow/locality_router.cc
+++ b/src/flow/locality_router.cc
@@ -9,8 +9,9 @@
 namespace {
 
 /**
- * Steps between all flows in the own zone and the even share: one is some 4% of the flows where
- * three zones are alike, so that balancers a step apart still place over 93 of 100 flows alike.
+ * Steps from keeping all flows in the own zone to sharing them out by slots. With three equal zones
+ * one step moves some 4% of the flows, so that balancers one step apart still choose the same back
+ * end for over 93 of 100 flows.
  */
 constexpr int kSteps = 16;
 /** Time for which answers of the own zone count: some thirty at a node of a dozen flows a second,
@@ -23,10 +24,16 @@
 constexpr double kSamplesNeeded = 4;
 /** A difference counts from so many standard errors on: one comparison in 40 errs by chance. */
 constexpr double kStandardErrors = 2;
-/** Lateness, as a power of LocalitySettings::late_from, from which two steps are made at once. */
+/**
+ * Lateness, as a power of LocalitySettings::late_from, from which kVeryLateSteps are made at once:
+ * 1.9 times the others' response times where late_from is 1.3.
+ */
 constexpr double kVeryLatePower = 2.5;
-/** Steps for back ends that are very late: with two, a zone whose callers grow to 130% of its slots
- * is in time again after 11 s, with four after 8 s (replay, 60 balancers in a zone). */
+/**
+ * Steps for back ends that are very late. Where a zone's callers grow to 130% of its slots, its
+ * back ends stop being late after 8 s with four steps, after 11 s with two (replay, 60 balancers in
+ * a zone).
+ */
 constexpr int kVeryLateSteps = 4;
 
 }  // namespace
@@ -79,6 +86,11 @@
   State& state = states_[service.id];
   const int level_before = state.level;
   state.even_share = capacity.all_slots > 0 ? capacity.own_slots / capacity.all_slots : 1;
+  if (state.even_share >= 1) {
+    // No other zone has slots: what is remembered of their answers must not move the share.
+    state.level = 0;
+    state.others = LogTimeStatistics(kOthersLifetime);
+  }
   const int floor = floorOf(state, capacity);
   if (!state.assessed) {
     state.assessed = true;
@@ -100,7 +112,7 @@
 void LocalityRouter::move(State& state, int floor) const {
   const MonotonicTime now = time_source_.monotonicTime();
   if (floor > state.level) {
-    // A zone that has lost its slots must not wait for late answers to show it.
+    // Lost slots count at once: until late answers showed the loss, callers would have waited.
     raise(state, floor, 0, now);
     state.cause = OverflowCause::Capacity;
     return;
@@ -152,7 +164,7 @@
       capacity.all_usable > 0 ? capacity.own_usable / capacity.all_usable : state.even_share;
   const double share = std::min(1.0, settings_.headroom * zones * usable);
   const double away = (1 - share) / (1 - state.even_share);
-  // Shares in whole steps, away from the own zone in doubt; rounding errors make none.
+  // Rounded up to a whole step away from the own zone; 1e-9 keeps rounding errors from adding one.
   return std::clamp(static_cast<int>(std::ceil(away * kSteps - 1e-9)), 0, kSteps);
 }
 
@@ -193,7 +205,7 @@
 double LocalityRouter::weight(ServiceId service, bool bulk) const {
   const double largest = bulk ? settings_.largest_bulk_weight : settings_.largest_weight;
   const State* state = find(service);
-  if (state == nullptr || state->level == 0 || state->even_share <= 0) {
+  if (state == nullptr || state->level == 0 || state->even_share <= 0 || state->even_share >= 1) {
     return largest;
   }
   const double share = shareAt(*state);
--- a/src/flow/locality_router.h
+++ b/src/flow/locality_router.h
@@ -25,7 +25,7 @@
 /** @return the mode's name in settings. */
 std::string_view toString(LocalityMode mode);
 
-/** Why a part of the new flows leaves the own zone beyond what its largest weight sends. */
+/** Why more new flows leave the own zone than with its largest weight. */
 enum class OverflowCause { None, Capacity, ResponseTime, Last = ResponseTime };
 
 std::string_view toString(OverflowCause cause);
@@ -38,21 +38,23 @@
   /** The same for flows of routes whose callers send large requests: their bytes cross zones. */
   double largest_bulk_weight = 1;
   /**
-   * Flows that the own zone takes, as a multiple of what its part of the usable slots would get if
-   * every zone had the same traffic and all slots were busy. Above 1, since slots are seldom all
-   * busy; from twice that on the response times have to tell.
+   * The own zone keeps at most this times the number of zones times its part of all usable slots.
+   * Above 1, since slots are seldom all busy: with 2, a zone keeps all its flows down to half of an
+   * even part of the usable slots; overload above that shows in response times.
    */
   double headroom = 2;
   /** Multiple of others' response times from which the own zone counts as late... */
   double late_from = 1.3;
-  /** ...and as in time again; the gap keeps the share still. */
+  /** ...and below which it no longer does; between the two the share stays as it is. */
   double in_time_below = 1.15;
   /** Least time that a caller gains by leaving the own zone; less is not worth the bytes. */
   Duration smallest_gain = milliseconds(10);
-  /** Shortest time between two steps away from the own zone: an answer or two must show the last.
+  /**
+   * Shortest time between two steps away from the own zone: the effect of the last one must first
+   * show in an answer or two.
    */
   Duration overflow_interval = milliseconds(500);
-  /** Time in which the own zone must have been in time before a step back. */
+  /** Time for which the own zone must not have been late before a step back. */
   Duration return_interval = seconds(1);
   /** Longest such time; it doubles when a step back makes the own zone late again. */
   Duration longest_return_interval = seconds(8);
@@ -80,9 +82,10 @@
 /**
  * Finds by service how much more the back ends of the own zone weigh in the placement of new flows.
  * The share of the own zone moves in a few steps between all and the even one, which its slots
- * alone would give: at once where its usable slots are few, one or two steps at a time where its
- * back ends answer later than others, and back one by one. Balancers that see much the same stand
- * on the same step, and a flow's hash then gives the same choice on each.
+ * alone would give: at once where its usable slots are few; where its back ends answer later than
+ * others, one step at a time, or several where they are very late; and back one by one. Balancers
+ * that see much the same stand on the same step, and a flow's hash then gives the same choice on
+ * each.
  */
 class LocalityRouter {
  public:
@@ -107,7 +110,7 @@
   /** Forgets services that are not known any more. */
   void retain(const ConfigurationView& configuration);
 
-  /** @return the share of new flows that stays in the own zone, by slots alone. */
+  /** @return share of new flows that stays in the own zone by weight and slots, without load. */
   double ownShare(ServiceId service) const;
   OverflowCause cause(ServiceId service) const;
   LocalityCounters counters(ServiceId service) const;
@@ -133,10 +136,15 @@
   enum class Lateness { InTime, Between, Late, VeryLate };
 
   const State* find(ServiceId service) const;
+  /** @return share of new flows that the own zone keeps at the state's level. */
   double shareAt(const State& state) const;
+  /** @return least steps away from the own zone that its usable slots call for. */
   int floorOf(const State& state, const LocalityCapacity& capacity) const;
+  /** @return how much later the own zone answers; InTime where there are too few answers. */
   Lateness lateness(const State& state, MonotonicTime now) const;
+  /** Moves away from the own zone, by the steps and at least to the floor. */
   void raise(State& state, int floor, int steps, MonotonicTime now) const;
+  /** Moves one step back where the zone was not late for the return interval. */
   void stepBack(State& state, int floor, MonotonicTime now) const;
   void move(State& state, int floor) const;
   void logStep(const Service& service, const State& state, const LocalityCapacity& capacity) const;
--- a/src/flow/log_time_statistics.cc
+++ b/src/flow/log_time_statistics.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-/** Shortest time that is told from another [ms]. */
+/** Shorter times count as this [ms], since zero has no logarithm. */
 constexpr double kShortestMs = 0.1;
 /**
  * A sample shorter than the typical one over this is left out: a server whose queue is full refuses
@@ -16,7 +16,10 @@
 constexpr double kShortestOfTypical = 6;
 /** Samples from which the typical one is known; below it every sample counts. */
 constexpr double kSamplesOfTypical = 4;
-/** Smallest spread of single times [ln ms]: work of one kind differs by a fifth at least. */
+/**
+ * Smallest spread of single times [ln ms]: work of one kind differs by a fifth at least, and a few
+ * samples that are equal by chance must not pass for certainty.
+ */
 constexpr double kSmallestSpread = 0.2;
 
 }  // namespace
--- a/src/flow/log_time_statistics.h
+++ b/src/flow/log_time_statistics.h
@@ -10,6 +10,7 @@
   /** @param lifetime time after which a sample counts 1/e of a new one. */
   explicit LogTimeStatistics(Duration lifetime = seconds(1)) : lifetime_(lifetime) {}
 
+  /** Takes a sample; one far shorter than the typical one, such as a refusal, is ignored. */
   void add(Duration sample, MonotonicTime now);
 
   /** @return the samples that count now, as a sum of their weights. */
@@ -18,13 +19,14 @@
   /** @return mean logarithm of the samples [ln ms]; 0 without any. */
   double mean() const;
 
-  /** @return variance of mean(); a few samples count as spread at least by kSmallestSpread. */
+  /** @return variance of mean(); single samples count as spread by at least a fifth. */
   double varianceOfMean(MonotonicTime now) const;
 
   /** @return the geometric mean of the samples [ms]. */
   double typicalMs() const;
 
  private:
+  /** @return what is left of the weights since they were last brought up to date. */
   double fade(MonotonicTime now) const;
 
   Duration lifetime_;
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -112,6 +112,10 @@
       !isEligible(*service, *backend)) {
     return;
   }
+  const bool is_out_of_reach = suspicion_ != nullptr && suspicion_->isOutOfReach(backend->id);
+  if (is_out_of_reach && !found->second.eligible.empty()) {
+    return;
+  }
   ++candidates_made_;
   found->second.eligible.push_back(backend);
   found->second.backends.push_back(backend);
--- a/src/flow/shared_evidence.cc
+++ b/src/flow/shared_evidence.cc
@@ -8,7 +8,10 @@
 
 /** Longest time for which a sign of life is remembered: no evidence is older. */
 constexpr Duration kLifeMemory = seconds(10);
-/** Time for which an answer after repetitions, told by others, raises what proves a death. */
+/**
+ * Time for which an answer after repetitions that others report raises how many repetitions prove a
+ * server dead: as long as SilenceSettings::slow_memory.
+ */
 constexpr Duration kSurvivedMemory = seconds(60);
 /** A zone answers where a sign of life of it is not older: a node sees several a second. */
 constexpr Duration kZoneAnswers = milliseconds(500);
@@ -78,13 +81,15 @@
       told = ToldSilence();
       told.first_told_at = now;
     }
-    // Several balancers sum; the one that has heard the most counts.
+    // Digests may come from several balancers; the one with the most reports counts.
     told.reporters = std::max<std::size_t>(told.reporters, summed.reporters);
     told.flows = std::max<std::size_t>(told.flows, seen.flows);
     told.repetitions = std::max<std::uint16_t>(told.repetitions, seen.repetitions);
     told.attempt_at = std::max(told.attempt_at, fromWireAge(now, seen.attempt_age_ms));
   }
-  if (digest.survived_repetitions > 0) {
+  const bool is_forgotten = now - told_survived_at_ > kSurvivedMemory;
+  const bool is_more = digest.survived_repetitions >= told_survived_ || is_forgotten;
+  if (digest.survived_repetitions > 0 && is_more) {
     told_survived_ = digest.survived_repetitions;
     told_survived_at_ = now;
   }
@@ -147,7 +152,7 @@
       zones_out[zone] = is_new ? time_source_.monotonicTime() : before->second;
     }
   }
-  if (zones_out.size() != zones_out_.size()) {
+  if (namesOf(zones_out) != namesOf(zones_out_)) {
     log_.write(LogLevel::Info, "flow", "zones_out_of_reach",
                {{"zones", namesOf(zones_out)},
                 {"zones_before", namesOf(zones_out_)},
@@ -248,11 +253,13 @@
     return std::nullopt;
   }
   const MonotonicTime now = time_source_.monotonicTime();
-  const Duration silent_for = now - lastLifeIn(*zone);
+  const MonotonicTime life_at = lastLifeIn(*zone);
+  const Duration silent_for = now - life_at;
   if (silent_for < settings_.dead_after || now - out->second < settings_.objection_time) {
     return std::nullopt;
   }
-  DeathEvidence evidence{true, 0, 0, silent_for};
+  const bool has_shown_life = life_at != MonotonicTime();
+  DeathEvidence evidence{true, 0, 0, has_shown_life ? silent_for : Duration::zero()};
   for (const auto& [other, told] : told_) {
     if (zoneOf(other) == zone) {
       evidence.reporters = std::max(evidence.reporters, told.reporters);
--- a/src/flow/shared_evidence.h
+++ b/src/flow/shared_evidence.h
@@ -17,7 +17,7 @@
   Duration fresh_for = milliseconds(1500);
   /** Different balancers that must name a back end: one alone may be cut off or overloaded. */
   std::size_t reporters_needed = 2;
-  /** Largest share of a service that others' word takes out; above it none of it counts. */
+  /** Largest share of a service that reports of others take out; above it they are ignored. */
   double max_share = 0.5;
   /** Flows, over all reporters, that must repeat themselves before a back end is taken for dead. */
   std::size_t flows_of_dead = 3;
@@ -29,11 +29,11 @@
   std::size_t servers_of_zone = 3;
   /** Shortest time without any sign of life from a zone before all of it is suspect. */
   Duration zone_silence = milliseconds(300);
-  /** Time for which another's word that a zone answers keeps it from being suspect. */
+  /** Time for which another balancer's report that a zone answers keeps it from being suspect. */
   Duration objection_lifetime = seconds(1);
 };
 
-/** What a node believes of a back end by the word of others. */
+/** What other balancers have reported of a silent back end. */
 struct ToldSilence {
   std::size_t reporters = 0;
   std::size_t flows = 0;
@@ -53,8 +53,8 @@
 
 /**
  * Joins what this node has seen of silent back ends with what the balancers of its zone have seen
- * together. Others' word counts while it is fresh, from several of them, for a bounded share of a
- * service, and until anybody gets an answer.
+ * together. Reports of others count while they are fresh, where several agree, for a bounded share
+ * of a service, and until anybody gets an answer.
  */
 class SharedEvidence : public BackendSuspicion {
  public:
@@ -77,20 +77,20 @@
 
   /**
    * @param repetitions of the flow at hand, which must not have been answered itself.
-   * @return why the back end of an open flow is surely dead by the word of others, or nothing.
+   * @return why reports of others prove the back end of an open flow dead, or nothing.
    */
   std::optional<DeathEvidence> deathOf(BackendId backend, std::uint16_t repetitions) const;
 
-  /** @return the back ends of which others tell that they are silent. */
+  /** @return the back ends that others report as silent. */
   const std::unordered_map<BackendId, ToldSilence>& told() const { return told_; }
 
   /** @return the zone of a back end that is known, or nothing. */
   std::optional<ZoneId> zoneOf(BackendId backend) const;
 
-  /** @return zones of which others tell so many silent servers that all of it may be cut off. */
+  /** @return zones with so many servers reported silent that the whole zone may be cut off. */
   std::set<ZoneId> zonesInDoubt() const;
 
-  /** @return when another last told that a server of the zone answers; unset for never. */
+  /** @return when a server of the zone last answered, as digests say; unset for never. */
   MonotonicTime objectedAt(ZoneId zone) const;
 
   std::size_t suspectsByOthers() const { return believed_.size(); }
@@ -112,7 +112,9 @@
   /** @return true where nobody has got an answer since the last unanswered attempt. */
   bool isUnanswered(BackendId backend, const ToldSilence& told) const;
   void forgetOld();
+  /** Decides which servers are passed over because of reports, and logs those that are new. */
   void believe();
+  /** Decides which zones are out of reach as a whole, and logs a change. */
   void believeZones();
   std::string namesOf(const std::map<ZoneId, MonotonicTime>& zones) const;
   std::optional<DeathEvidence> deathOfZone(BackendId backend, std::uint16_t repetitions) const;
@@ -131,7 +133,7 @@
   std::unordered_map<ServiceId, std::size_t> service_sizes_;
   std::unordered_map<ZoneId, std::string> zone_names_;
   std::unordered_map<BackendId, ToldSilence> told_;
-  /** Last signs of life that others told. */
+  /** Last signs of life that others reported. */
   std::unordered_map<BackendId, MonotonicTime> told_life_;
   std::unordered_map<ZoneId, MonotonicTime> objections_;
   std::uint16_t told_survived_ = 0;
--- a/src/flow/silence_detector.cc
+++ b/src/flow/silence_detector.cc
@@ -95,7 +95,6 @@
         seen.attempt_at = std::max(seen.attempt_at, silent.repeated_at);
       }
     }
-    seen.flows = std::max<std::size_t>(seen.flows, 1);
   }
   return observations;
 }
--- a/src/flow/silence_detector.h
+++ b/src/flow/silence_detector.h
@@ -48,8 +48,8 @@
 
 /**
  * Learns which back ends have fallen silent from what their callers send, long before the platform
- * tells. Suspected back ends get no new flows; for dead ones open flows are reset, so that callers
- * can try elsewhere. Any sign of life ends both.
+ * reports it. Suspected back ends get no new flows; for dead ones open flows are reset, so that
+ * callers can try elsewhere. Any sign of life ends both.
  */
 class SilenceDetector : public BackendSuspicion {
  public:
@@ -64,8 +64,8 @@
 
   /**
    * A caller has received something new from the back end.
-   * @param repetitions how often the caller had repeated itself before: living back ends that are
-   * slow teach what is no proof.
+   * @param repetitions how often the caller had repeated itself before: since a living back end
+   * answered after so many, only more of them prove one dead.
    */
   void onLife(BackendId backend, std::uint16_t repetitions = 0);
 
--- a/src/runtime/json_event_log.h
+++ b/src/runtime/json_event_log.h
@@ -33,8 +33,7 @@
  public:
   explicit JsonEventLog(const LogSettings& settings);
 
-  /** Loads log4cxx's appender; where that can't be had, says so in a line and goes on without it.
-   */
+  /** Loads log4cxx's appender; where that fails, logs the cause and goes on writing directly. */
   void connectAppender();
 
   void write(LogLevel level, std::string_view component, std::string_view event,
--- a/src/runtime/log_appender.cc
+++ b/src/runtime/log_appender.cc
@@ -8,6 +8,7 @@
 
 namespace {
 
+/** The name that the build gives the module. */
 constexpr const char* kModule = "lugfork-log4cxx.so";
 
 /** LogOutput that hands lines to the loaded module. */
--- a/src/runtime/log_appender.h
+++ b/src/runtime/log_appender.h
@@ -12,7 +12,7 @@
  * Loads log4cxx's appender: a module that lies beside the program. log4cxx is no part of the
  * program itself, as its 5,200 relocations took 1.2 ms of processor time before the first line of
  * main().
- * @return the output, or why it can't be had.
+ * @return the output, or why it can't be loaded.
  */
 Result<std::unique_ptr<LogOutput>, std::string> loadLogAppender();
 
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -126,11 +126,11 @@
   };
   page.addCounter("lugfork_processor_seconds_total", "Processor time used by this process.",
                   seconds_of(processorTime()));
-  if (figures.first_packet_at) {
-    const auto started_at = processStartedAt().value_or(*figures.first_packet_at);
+  const auto started_at = processStartedAt();
+  if (figures.first_packet_at && started_at) {
     page.addGauge("lugfork_start_to_first_packet_seconds",
                   "From the process's start until it first forwarded a packet.",
-                  seconds_of(*figures.first_packet_at - started_at));
+                  seconds_of(*figures.first_packet_at - *started_at));
   }
 }
 
--- a/src/runtime/stop_signals.h
+++ b/src/runtime/stop_signals.h
@@ -2,10 +2,10 @@
 
 #include <csignal>
 
-/** Signals that a daemon handles (SIGTERM, SIGINT, SIGHUP), before its handlers stand. */
+/** Holds the signals that a daemon handles (SIGTERM, SIGINT, SIGHUP) until its handlers exist. */
 namespace lugfork {
 
-/** @param how SIG_BLOCK or SIG_UNBLOCK. */
+/** Changes the thread's signal mask. @param how SIG_BLOCK or SIG_UNBLOCK. */
 inline void maskStopSignals(int how) {
   sigset_t signals;
   sigemptyset(&signals);
@@ -17,13 +17,13 @@
 
 /**
  * Keeps them waiting, in this thread and those that it starts. To be called before anything else: a
- * SIGTERM in a start's first milliseconds ended the daemon without its planned stop.
+ * SIGTERM in a start's first milliseconds would end the daemon without its planned stop.
  */
 inline void holdStopSignals() {
   maskStopSignals(SIG_BLOCK);
 }
 
-/** Delivers those that wait and all that come; to be called once their handlers stand. */
+/** Delivers those that wait and all that come; to be called once their handlers exist. */
 inline void deliverStopSignals() {
   maskStopSignals(SIG_UNBLOCK);
 }
--- a/src/wire/evidence_messages.cc
+++ b/src/wire/evidence_messages.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** Ages go in steps of these [ms]: rounded down, so that signs of life are never told too old. */
+/** Ages are sent in steps of these [ms], rounded down: a sign of life must not seem older. */
 constexpr std::uint16_t kAgeStep = 10;
 constexpr std::uint16_t kLifeAgeStep = 20;
 constexpr std::uint8_t kNever = 0xff;
--- a/src/wire/evidence_messages.h
+++ b/src/wire/evidence_messages.h
@@ -12,7 +12,10 @@
 
 /** Age of something that never was [ms]. */
 inline constexpr std::uint16_t kNeverMilliseconds = 0xffff;
-/** Servers in one message at most: with its headers it stays under half a kilobyte. */
+/**
+ * Servers in one digest at most, which stays under half a kilobyte with its headers. In a report
+ * the bound holds for the silent servers, and for signs of life of single servers.
+ */
 inline constexpr std::size_t kMaxServersInEvidence = 48;
 
 /** What one balancer has seen of a server that does not answer it. */
@@ -26,7 +29,7 @@
   std::uint16_t attempt_age_ms = 0;
   /** Age of the last sign of life [ms]. */
   std::uint16_t life_age_ms = kNeverMilliseconds;
-  /** Counts above 15 and ages above 2.5 s (attempt) and 5 s (life) go as these. */
+  /** Counts above 15 and ages above 2.5 s (attempt) and 5 s (life) are sent as these limits. */
   static constexpr std::uint32_t kPackedBytes = 7;
   void packTo(Bytes& out) const;
   static ServerSilence unpack(const std::uint8_t* bytes);
@@ -44,7 +47,7 @@
   bool operator==(const ServerLife&) const = default;
 };
 
-/** One balancer's observations, told to the strongest of its zone. */
+/** One balancer's observations, sent to the balancer that sums for its zone. */
 struct EvidenceReport {
   /** Zone of who reports: its observations hold for that zone only. */
   std::string zone;
@@ -72,9 +75,9 @@
   bool operator==(const SummedSilence&) const = default;
 };
 
-/** What the balancers of a zone have seen together, told to those that report. */
+/** What the balancers of a zone have seen together, sent to those that report. */
 struct EvidenceDigest {
-  /** Zone of who sums: whoever runs in another has asked the wrong one. */
+  /** Zone of the sender; a receiver in another zone stops reporting to it. */
   std::string zone;
   std::uint8_t survived_repetitions = 0;
   std::vector<SummedSilence> silent;
--- a/tests/discovery/backend_registry_test.cc
+++ b/tests/discovery/backend_registry_test.cc
@@ -121,6 +121,13 @@
     CHECK(harness.registry.retireMissing());
     CHECK(is_retired());
   }
+  SECTION("found gone, and long forgotten when the missing ones are taken for gone") {
+    harness.registry.onServerGone("backends/a", 10);
+    CHECK(is_retired());
+    harness.time.elapsed += kRetiredFor + seconds(1);
+    CHECK(harness.registry.forgetRetired());
+    CHECK_FALSE(harness.registry.retireMissing());
+  }
   SECTION("another server has its address") {
     harness.registry.onServer("backends/b", server(0xb, "ingest", addressOf(1)), 10, 10);
     CHECK(is_retired());
--- a/tests/flow/locality_router_test.cc
+++ b/tests/flow/locality_router_test.cc
@@ -58,6 +58,21 @@
   CHECK(harness.router.weight(ServiceId(9), false) == 50);
 }
 
+TEST_CASE("the own zone has the largest weight once no other zone has slots", "[locality]") {
+  LocalityHarness harness;
+  harness.pass(6, 100, 20);
+  REQUIRE(harness.router.weight(kFeed, false) < 50);
+  harness.capacity = {40, 40, 40, 40, 3};
+  // Late answers of the own zone, beside what is remembered of the others, move nothing now.
+  for (int answer = 0; answer < 40; ++answer) {
+    harness.time.elapsed += milliseconds(50);
+    harness.router.onResponse(kFeed, true, milliseconds(100));
+    harness.assess();
+    REQUIRE(harness.router.weight(kFeed, false) == 50);
+    REQUIRE(harness.router.ownShare(kFeed) == 1);
+  }
+}
+
 TEST_CASE("the own zone's share follows its usable slots at once, and back step by step",
           "[locality]") {
   struct Row {
--- a/tests/flow/shared_evidence_test.cc
+++ b/tests/flow/shared_evidence_test.cc
@@ -210,6 +210,32 @@
   CHECK_FALSE(harness.isDead(5));
 }
 
+TEST_CASE("a digest that tells of fewer survived repetitions takes back no others' word",
+          "[shared_evidence]") {
+  Harness harness;
+  EvidenceDigest many;
+  many.survived_repetitions = 4;
+  harness.node.shared.onDigest(many);
+  harness.node.isTold({5}, 2, 3, 2);
+  EvidenceDigest few;
+  few.survived_repetitions = 1;
+  harness.node.shared.onDigest(few);
+  harness.advance(600);
+  CHECK_FALSE(harness.isDead(5, 4));
+  CHECK(harness.isDead(5, 5));
+}
+
+TEST_CASE("an opening without an answer makes a server suspect, but counts as no flow that repeats",
+          "[shared_evidence]") {
+  Harness harness;
+  harness.node.own.onOpening(BackendId(5));
+  harness.advance(200);
+  const auto seen = harness.node.own.observations();
+  REQUIRE(seen.size() == 1);
+  CHECK(seen.front().backend == BackendId(5));
+  CHECK(seen.front().flows == 0);
+}
+
 TEST_CASE("open flows to a zone out of reach are reset by their own repetitions",
           "[shared_evidence]") {
   Harness harness;
