--- a/tests/process/failure_test.cc
+++ b/tests/process/failure_test.cc
@@ -106,7 +106,7 @@
   std::uint64_t drained_at_ms = 0;
   Fleet fleet;
   const auto streams = fleet.startStreams(30, 80);
-  sleepFor(1000);
+  fleet.waitFor("a stream at the first back end", [&] { return !fleet.runs(0).empty(); });
   fleet.document()["backends"][0]["draining"] = true;
   REQUIRE(fleet.publish() == 0);
   drained_at_ms = nowMilliseconds();
