--- a/bench/control_work_bench.cc
+++ b/bench/control_work_bench.cc
@@ -126,7 +126,7 @@
                   log};
 };
 
-void BM_FirstViewToReady(benchmark::State& state) {
+void measureFirstViewToReady(benchmark::State& state) {
   const SettableTime time;
   const ItemPage page = wholeView(static_cast<std::uint32_t>(state.range(0)), 50);
   for (auto _ : state) {
@@ -143,9 +143,9 @@
     state.ResumeTiming();
   }
 }
-BENCHMARK(BM_FirstViewToReady)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
+BENCHMARK(measureFirstViewToReady)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
 
-void BM_ServerChange(benchmark::State& state) {
+void measureServerChange(benchmark::State& state) {
   const SettableTime time;
   NodeHarness harness(time);
   harness.start();
@@ -160,9 +160,9 @@
         serverItem(number, revision, drains ? ServerState::Draining : ServerState::Ready));
   }
 }
-BENCHMARK(BM_ServerChange)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
+BENCHMARK(measureServerChange)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
 
-void BM_RoutesChange(benchmark::State& state) {
+void measureRoutesChange(benchmark::State& state) {
   const SettableTime time;
   NodeHarness harness(time);
   harness.start();
@@ -176,7 +176,7 @@
     harness.takeChange(std::move(item));
   }
 }
-BENCHMARK(BM_RoutesChange)->Arg(50)->Arg(kRoutes)->Unit(benchmark::kMicrosecond);
+BENCHMARK(measureRoutesChange)->Arg(50)->Arg(kRoutes)->Unit(benchmark::kMicrosecond);
 
 /** @param time_step time between openings, which makes candidate lists grow old. */
 void openFlows(benchmark::State& state, Duration time_step) {
@@ -203,14 +203,14 @@
     state.ResumeTiming();
   }
 }
-void BM_Opening(benchmark::State& state) {
+void measureOpening(benchmark::State& state) {
   openFlows(state, milliseconds(1));
 }
-BENCHMARK(BM_Opening)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
-void BM_OpeningWithOldList(benchmark::State& state) {
+BENCHMARK(measureOpening)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
+void measureOpeningWithOldList(benchmark::State& state) {
   openFlows(state, milliseconds(300));
 }
-BENCHMARK(BM_OpeningWithOldList)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
+BENCHMARK(measureOpeningWithOldList)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
 
 ViewBody viewBody(std::uint32_t servers) {
   ItemPage page = wholeView(servers, 50);
@@ -221,21 +221,21 @@
   return body;
 }
 
-void BM_EncodeView(benchmark::State& state) {
+void measureEncodeView(benchmark::State& state) {
   const ViewBody body = viewBody(static_cast<std::uint32_t>(state.range(0)));
   for (auto _ : state) {
     benchmark::DoNotOptimize(encodeViewBody(body));
   }
 }
-BENCHMARK(BM_EncodeView)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
+BENCHMARK(measureEncodeView)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
 
-void BM_DecodeView(benchmark::State& state) {
+void measureDecodeView(benchmark::State& state) {
   const Bytes bytes = encodeViewBody(viewBody(static_cast<std::uint32_t>(state.range(0))));
   for (auto _ : state) {
     benchmark::DoNotOptimize(decodeViewBody(bytes));
   }
 }
-BENCHMARK(BM_DecodeView)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
+BENCHMARK(measureDecodeView)->Arg(150)->Arg(kServers)->Unit(benchmark::kMicrosecond);
 
 KnownPeer peerOf(std::uint32_t number) {
   return {{0x0c000000 + number, 8000}, linkClassOf(number % 50 == 0 ? 200 : 10)};
@@ -252,7 +252,7 @@
   PeerDirectory directory{{}, peerOf(kBalancers + 1), {peerOf(1).address}, time, *random};
 };
 
-void BM_PeersTold(benchmark::State& state) {
+void measurePeersTold(benchmark::State& state) {
   DirectoryHarness harness;
   std::vector<KnownPeer> told;
   for (std::uint32_t number = 1; number <= 100; ++number) {
@@ -262,34 +262,34 @@
     harness.directory.onTold(told);
   }
 }
-BENCHMARK(BM_PeersTold)->Unit(benchmark::kMicrosecond);
+BENCHMARK(measurePeersTold)->Unit(benchmark::kMicrosecond);
 
-void BM_PeerShown(benchmark::State& state) {
+void measurePeerShown(benchmark::State& state) {
   DirectoryHarness harness;
   std::uint32_t number = 0;
   for (auto _ : state) {
     harness.directory.onShown(peerOf(++number % kBalancers));
   }
 }
-BENCHMARK(BM_PeerShown)->Unit(benchmark::kMicrosecond);
+BENCHMARK(measurePeerShown)->Unit(benchmark::kMicrosecond);
 
-void BM_ChooseUpstreams(benchmark::State& state) {
+void measureChooseUpstreams(benchmark::State& state) {
   DirectoryHarness harness;
   UpstreamSelector selector({}, peerOf(kBalancers + 1).address, harness.directory);
   for (auto _ : state) {
     benchmark::DoNotOptimize(selector.upstreams());
   }
 }
-BENCHMARK(BM_ChooseUpstreams)->Unit(benchmark::kMicrosecond);
+BENCHMARK(measureChooseUpstreams)->Unit(benchmark::kMicrosecond);
 
-void BM_OwnerOfColdServer(benchmark::State& state) {
+void measureOwnerOfColdServer(benchmark::State& state) {
   DirectoryHarness harness;
   std::uint64_t key = 0;
   for (auto _ : state) {
     benchmark::DoNotOptimize(harness.directory.isOwner(++key, kOwnersOfColdServer));
   }
 }
-BENCHMARK(BM_OwnerOfColdServer)->Unit(benchmark::kMicrosecond);
+BENCHMARK(measureOwnerOfColdServer)->Unit(benchmark::kMicrosecond);
 
 }  // namespace
 }  // namespace lugfork
