--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -122,9 +122,8 @@
   peer_socket_->setReceivers(view_client_.get(), provider_.get());
   peer_exchange_ = std::make_unique<PeerExchange>(settings_.peer_exchange, directory_,
                                                   *view_client_, scheduler_, *random_);
-  view_client_->setWholeViewCallback([this](Bytes body, const ViewStatus& status) {
-    provider_->adopt(std::move(body), status);
-  });
+  view_client_->setWholeViewCallback(
+      [this](Bytes body, const ViewStatus& status) { provider_->adopt(std::move(body), status); });
   node_.setIsOwner([this](std::uint64_t server_id) {
     return directory_.isOwner(server_id, kOwnersOfColdServer);
   });
--- a/tests/discovery/fleet_start_test.cc
+++ b/tests/discovery/fleet_start_test.cc
@@ -390,11 +390,11 @@
   StartingFleet fleet(largeFleet(size), seedList({2, 22, 42}), {});
   fleet.run(seconds(12));
   const auto times = viewTimes(fleet);
-  const auto at = [&](double share) {
-    return toMilliseconds(times[static_cast<std::size_t>(share * (times.size() - 1))]);
+  const auto at = [&](std::size_t percent) {
+    return toMilliseconds(times[percent * (times.size() - 1) / 100]);
   };
-  INFO(size << " balancers: views after " << at(0.1) << ", " << at(0.5) << ", " << at(0.9)
-            << ", last " << at(1) << " ms; " << fleet.first_requests << " first requests, "
+  INFO(size << " balancers: views after " << at(10) << ", " << at(50) << ", " << at(90) << ", last "
+            << at(100) << " ms; " << fleet.first_requests << " first requests, "
             << fleet.lost_at_sockets << " datagrams lost at sockets, readers "
             << fleet.store.readers.size());
   CHECK(fleet.store.readers.size() <= 3);
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -158,8 +158,9 @@
     CHECK(without.has_value() == (field == "born"));
     for (const nlohmann::json& value : wrong) {
       const bool is_text = field == "service" || field == "zone" || field == "version";
-      const bool fits = (is_text && value.is_string() && value != "") ||
-                        (field == "seq" && value.is_number_unsigned());
+      const bool fits =
+          (is_text && value.is_string() && !value.get_ref<const std::string&>().empty()) ||
+          (field == "seq" && value.is_number_unsigned());
       entry[field] = value;
       const auto text = entry.dump(-1, ' ', false, nlohmann::json::error_handler_t::ignore);
       INFO(text);
--- a/tests/wire/view_transfer_codec_test.cc
+++ b/tests/wire/view_transfer_codec_test.cc
@@ -195,8 +195,7 @@
   }
 }
 
-TEST_CASE("a body of a balancer without knowledge of starts tells none",
-          "[view_transfer_codec]") {
+TEST_CASE("a body of a balancer without knowledge of starts tells none", "[view_transfer_codec]") {
   auto read = decodeViewBody(encodeViewBody(viewOf(5)));
   REQUIRE(read);
   CHECK(takeStart(read.value().changes[0].item.value) == 0);
