Refuse a body that never fits its hash, and keep nothing of it

Cause: parts of a sender that failed are kept and the rest is asked of the next one. A body of which all parts had come under a wrong hash was kept too: the next sender was asked for none of its parts, said nothing, and so on with each sender of that body.

Change: such a body is refused as malformed at once, counted, and dropped.

--- a/src/discovery/view_assembly.cc
+++ b/src/discovery/view_assembly.cc
@@ -33,7 +33,7 @@
 }
 
 bool ViewAssembly::isComplete() const {
-  return hasBegun() && missing_ == 0 && hashOfBody(body_) == body_hash_;
+  return hasAllParts() && hashOfBody(body_) == body_hash_;
 }
 
 void ViewAssembly::fillRequest(ViewRequest& request) const {
--- a/src/discovery/view_assembly.h
+++ b/src/discovery/view_assembly.h
@@ -10,6 +10,9 @@
   /** @return true if the part was new. A part that fits no body is ignored. */
   bool onPart(const ViewPart& part);
 
+  /** @return true once no part is missing; the hash may still be wrong. */
+  bool hasAllParts() const { return hasBegun() && missing_ == 0; }
+
   /** Parts have come, and this is all of a body whose hash is right. */
   bool isComplete() const;
 
--- a/src/discovery/view_client.cc
+++ b/src/discovery/view_client.cc
@@ -66,6 +66,11 @@
     finish(*pending);
     return;
   }
+  if (pending->assembly.hasAllParts()) {
+    ++malformed_bodies_;
+    fail(part.request, {SourceError::Malformed, {}});
+    return;
+  }
   requestMore(*pending, part.part);
 }
 
@@ -187,7 +192,9 @@
 void ViewClient::fail(std::uint64_t id, PeerRefusal refusal) {
   auto found = views_.extract(id);
   PendingView& pending = found.mapped();
-  if (pending.request.after == 0 && pending.assembly.hasBegun()) {
+  // Of a body that never fits its hash the next sender would be asked for no part at all.
+  const bool may_go_on = pending.assembly.hasBegun() && !pending.assembly.hasAllParts();
+  if (pending.request.after == 0 && may_go_on) {
     unfinished_ = std::move(pending.assembly);
   }
   pending.callback(std::move(refusal));
