--- a/src/discovery/view_client.cc
+++ b/src/discovery/view_client.cc
@@ -133,7 +133,7 @@
     return;
   }
   if (refusal.status.serves_view && !refusal.others.empty()) {
-    named_ = {refusal.others.front().address, port_};
+    referred_to_ = {refusal.others.front().address, port_};
   }
   const SourceError cause =
       refusal.status.serves_view ? SourceError::Throttled : SourceError::Unavailable;
@@ -141,9 +141,9 @@
 }
 
 Duration ViewClient::queuedPatience(const PendingView& pending) const {
-  const bool has_just_started = time_source_.monotonicTime() - started_at_ < settings_.start_time;
-  const bool is_sure = has_just_started || pending.peer == named_;
-  return is_sure ? settings_.sure_patience : settings_.queued_patience;
+  const bool has_just_started = time_source_.monotonicTime() - started_at_ < settings_.fleet_start;
+  const bool is_promised = has_just_started || pending.peer == referred_to_;
+  return is_promised ? settings_.promised_patience : settings_.queued_patience;
 }
 
 void ViewClient::onPeersReply(const PeersReply& reply, Endpoint from) {
--- a/src/discovery/view_client.h
+++ b/src/discovery/view_client.h
@@ -21,9 +21,9 @@
    * The same where the peer will surely have a view: another one has named it, or the fleet has
    * just started and all seeds read the store. At most ViewProviderSettings::queue_lifetime.
    */
-  Duration sure_patience = milliseconds(500);
+  Duration promised_patience = milliseconds(500);
   /** Time after the start for which that holds. */
-  Duration start_time = milliseconds(1000);
+  Duration fleet_start = milliseconds(1000);
   /** Who is queued asks again after so long, so that it keeps its place there. */
   Duration queued_renewal = milliseconds(150);
   /** Time without an answer after which an exchange of peers has failed. */
@@ -97,7 +97,7 @@
   const std::uint16_t port_;
   const Send send_;
   /** The balancer that a peer with a view has named last. */
-  Endpoint named_;
+  Endpoint referred_to_;
   Scheduler& scheduler_;
   const TimeSource& time_source_;
   RandomGenerator& random_;
--- a/src/discovery/view_provider.cc
+++ b/src/discovery/view_provider.cc
@@ -89,8 +89,8 @@
   }
   // Strong links first: they carry the copies of the others.
   std::sort(receivers.begin(), receivers.end(), [](const auto& left, const auto& right) {
-    return std::make_pair(right.request.link, left.reply_to) <
-           std::make_pair(left.request.link, right.reply_to);
+    const bool is_alike = left.request.link == right.request.link;
+    return is_alike ? left.reply_to < right.reply_to : left.request.link > right.request.link;
   });
   for (const ViewCopies::Receiver& receiver : receivers) {
     planCopy(receiver);
@@ -122,19 +122,21 @@
     beginCopies();
     return;
   }
-  const auto directed = directed_.find(receiver.reply_to);
-  if (directed != directed_.end() && directed->second.request == request.request) {
-    refer(request, receiver.reply_to, directed->second.sender);
+  const auto referred = referred_.find(receiver.reply_to);
+  if (referred != referred_.end() && referred->second.request == request.request) {
+    refer(request, receiver.reply_to, referred->second.sender);
     return;
   }
-  if (copies_.isWaiting(receiver.reply_to)) {
+  const bool was_waiting = copies_.isWaiting(receiver.reply_to);
+  if (was_waiting) {
     copies_.wait(receiver);
   } else {
     planCopy(receiver);
   }
   beginCopies();
   if (copies_.isWaiting(receiver.reply_to)) {
-    tellQueued(receiver);
+    counters_.queued += was_waiting ? 0 : 1;
+    send_(receiver.reply_to, ViewRefusal{request.request, status(), true, {}});
   }
 }
 
@@ -143,10 +145,10 @@
   copies_.forget(receiver.reply_to);
   const Endpoint sender = plan_.choose({request.from, request.link}, wholeBody()->bytes.size());
   if (sender.isSet()) {
-    if (directed_.size() >= settings_.max_queued) {
-      directed_.clear();
+    if (referred_.size() >= settings_.max_queued) {
+      referred_.clear();
     }
-    directed_[receiver.reply_to] = {request.request, sender};
+    referred_[receiver.reply_to] = {request.request, sender};
     refer(request, receiver.reply_to, sender);
   } else if (!copies_.wait(receiver)) {
     refer(request, receiver.reply_to, Endpoint());
@@ -161,7 +163,7 @@
     }
     const WholeBodyPtr body = wholeBody();
     ++counters_.whole_views;
-    directed_.erase(receiver->reply_to);
+    referred_.erase(receiver->reply_to);
     copies_.begin(*receiver, body);
     continueCopy(*receiver, *body);
   }
@@ -182,11 +184,6 @@
                   end >= partCount(static_cast<std::uint32_t>(body.bytes.size())));
 }
 
-void ViewProvider::tellQueued(const ViewCopies::Receiver& receiver) {
-  ++counters_.queued;
-  send_(receiver.reply_to, ViewRefusal{receiver.request.request, status(), true, {}});
-}
-
 void ViewProvider::answerChanges(const ViewRequest& request, Endpoint reply_to) {
   const bool continues = request.body_hash != 0;
   auto known = owner_.view().changesAfter(request.after);
--- a/src/discovery/view_provider.h
+++ b/src/discovery/view_provider.h
@@ -61,6 +61,7 @@
   std::uint64_t changes = 0;
   /** Sent to another balancer, which has a copy or will have one earlier. */
   std::uint64_t referred = 0;
+  /** Receivers that had to wait, for the first view or for their copy; each counted once. */
   std::uint64_t queued = 0;
   std::uint64_t history_unknown = 0;
   std::uint64_t bytes = 0;
@@ -100,8 +101,8 @@
     ViewCopies::Receiver receiver;
     MonotonicTime asked_at;
   };
-  /** A receiver that was sent to another balancer, for when that message was lost. */
-  struct Directed {
+  /** Where a receiver was sent: it is told the same again where that message was lost. */
+  struct Referred {
     std::uint64_t request = 0;
     Endpoint sender;
   };
@@ -121,8 +122,6 @@
   void planCopy(const ViewCopies::Receiver& receiver);
   /** Begins copies as far as the link has room, and again a little later while others wait. */
   void beginCopies();
-  /** Tells a receiver that its copy comes later. */
-  void tellQueued(const ViewCopies::Receiver& receiver);
   WholeBodyPtr wholeBody();
 
   /**
@@ -149,11 +148,11 @@
   const TimeSource& time_source_;
   const Send send_;
   const MonotonicTime started_at_;
-  /** Who waits for the first view of this balancer. */
+  /** Who waits for the first view of this balancer; later ones wait in the copies' queue. */
   std::unordered_map<Endpoint, Queued> queue_;
   ViewSpreadPlan plan_;
   ViewCopies copies_;
-  std::unordered_map<Endpoint, Directed> directed_;
+  std::unordered_map<Endpoint, Referred> referred_;
   bool begins_later_ = false;
   std::deque<Referral> referrals_;
   std::size_t next_referral_ = 0;
--- a/tests/discovery/view_provider_test.cc
+++ b/tests/discovery/view_provider_test.cc
@@ -245,6 +245,12 @@
   }
   // Most of the others are not for this link to carry.
   CHECK(waiting.size() <= 20);
+  CHECK(harness.provider.counters().queued == waiting.size());
+  harness.provider.onRequest(
+      {*waiting.begin(), balancer(*waiting.begin()), 0, 0, 0, kAllParts, linkClassOf(20)},
+      socketOf(*waiting.begin()));
+  CHECK(std::get<ViewRefusal>(harness.takeSent(*waiting.begin()).front()).is_queued);
+  CHECK(harness.provider.counters().queued == waiting.size());
   harness.scheduler.advance(milliseconds(400));
   for (const std::uint32_t number : waiting) {
     CHECK(harness.bodyFor(number).is_whole);
