Carry the class of a route's requests, and ask an admission control for each new flow

Cause: balancers knew neither how urgent a route's requests are nor when an answer is of use, so that nothing could choose among callers where slots are short. Change: priority, target and timeout come from the configuration to each balancer; the decider asks an AdmissionControl, where there is one, for the first copy of an opening; its rejection is told at once.

--- a/src/config/resources.h
+++ b/src/config/resources.h
@@ -85,12 +85,24 @@
   bool operator==(const RouteTarget&) const = default;
 };
 
+/** What the operator says of the requests that callers send on a route. */
+struct RequestClass {
+  /** 0 is the most urgent. */
+  std::uint32_t priority = 0;
+  /** Time within which an answer is of full use to its caller; zero where that is not told. */
+  Duration target{};
+  /** Time after which the caller has given up; zero where that is not told. */
+  Duration timeout{};
+  bool operator==(const RequestClass&) const = default;
+};
+
 /** Address that callers use, and the services that take its new flows. */
 struct Route {
   Endpoint address;
   std::vector<RouteTarget> targets;
   /** Callers send large requests, for which traffic between zones is expensive. */
   bool bulk = false;
+  RequestClass request_class = {};
   bool operator==(const Route&) const = default;
 
   /** @return the service of a flow, the same on every balancer; nothing without any weight. */
--- a/src/discovery/backend_registry.cc
+++ b/src/discovery/backend_registry.cc
@@ -512,6 +512,8 @@
   Route route;
   route.address = record.address;
   route.bulk = record.bulk;
+  route.request_class = {record.priority, milliseconds(record.target_ms),
+                         milliseconds(record.timeout_ms)};
   for (const RouteShare& share : record.shares) {
     route.targets.push_back({serviceIdOf(share.service), share.weight});
   }
--- a/src/discovery/platform_records.h
+++ b/src/discovery/platform_records.h
@@ -51,7 +51,15 @@
   std::vector<RouteShare> shares;
   /** Callers send large requests. */
   bool bulk = false;
-  auto fields() { return std::tie(address, shares, bulk); }
+  /** 0 is the most urgent. */
+  std::uint32_t priority = 0;
+  /** Time within which an answer is of full use [ms]; 0 where that is not told. */
+  std::uint32_t target_ms = 0;
+  /** Time after which the caller has given up [ms]; 0 where that is not told. */
+  std::uint32_t timeout_ms = 0;
+  /** Balancers from before the last three fields wrote the others only. */
+  static constexpr std::size_t kFieldsAlwaysThere = 3;
+  auto fields() { return std::tie(address, shares, bulk, priority, target_ms, timeout_ms); }
 };
 
 /** A service that the configuration names, and what its servers bear while they are cold. */
--- a/src/flow/flow_decider.cc
+++ b/src/flow/flow_decider.cc
@@ -37,6 +37,11 @@
   if (service == nullptr) {
     return PlacementRefusal{Reason::NoBackendInAllowedZones, settings_.retry_after};
   }
+  const bool is_rejected = admission_ != nullptr && !opening.is_copy &&
+                           !admission_->admits(*service, route->request_class, opening.flow);
+  if (is_rejected) {
+    return PlacementRefusal{Reason::Overloaded, settings_.retry_after, true};
+  }
   const FlowVolume volume = route->bulk ? FlowVolume::Bulk : FlowVolume::Small;
   const auto placed = placement_.place(*service, opening.flow, volume, opening.excluded);
   if (!placed) {
--- a/src/flow/flow_decider.h
+++ b/src/flow/flow_decider.h
@@ -9,6 +9,7 @@
 #include "flow/compact_token.h"
 #include "flow/placement_engine.h"
 #include "flow/token.h"
+#include "load/admission_control.h"
 #include "wire/datagram.h"
 
 namespace lugfork {
@@ -42,6 +43,8 @@
   Endpoint service;
   /** Back end that did not answer an earlier copy of the opening; unset for none. */
   BackendId excluded;
+  /** A copy may belong to a flow that a server has already taken: admission is not asked. */
+  bool is_copy = false;
 };
 
 /** Where a new flow goes. Both pointers live as long as the configuration in force. */
@@ -114,6 +117,9 @@
   /** Sets the codec of compact tokens; without one all of them name nobody. */
   void setCompactTokens(const CompactTokenCodec* codec) { compact_tokens_ = codec; }
 
+  /** Sets who is asked for each new flow; without it all are admitted. */
+  void setAdmission(AdmissionControl* admission) { admission_ = admission; }
+
   Result<OpeningPlacement, PlacementRefusal> decideOpening(const FlowOpening& opening);
   ContinuationDecision decideContinuation(const FlowContinuation& continuation);
 
@@ -138,6 +144,7 @@
   PlacementEngine& placement_;
   FlowRouterHost& host_;
   const CompactTokenCodec* compact_tokens_ = nullptr;
+  AdmissionControl* admission_ = nullptr;
   ConfigurationViewPtr configuration_;
 };
 
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -23,7 +23,8 @@
 
 void PacketRouter::onOpening(const FlowPacket& packet) {
   const BackendId silent = silentChoice(packet);
-  const auto decision = decider_.decideOpening({packet.flow(), packet.service, silent});
+  const bool is_copy = packet.acknowledged > 0;
+  const auto decision = decider_.decideOpening({packet.flow(), packet.service, silent, is_copy});
   if (!decision) {
     refuseOpening(packet, decision.error());
     return;
@@ -59,7 +60,7 @@
     return earlier->backend;
   }
   // The first copy went through another node, which chose as this one would.
-  const auto first = decider_.decideOpening({packet.flow(), packet.service, BackendId()});
+  const auto first = decider_.decideOpening({packet.flow(), packet.service, BackendId(), true});
   return first ? first.value().backend->id : BackendId();
 }
 
@@ -72,7 +73,7 @@
 }
 
 void PacketRouter::refuseOpening(const FlowPacket& packet, const PlacementRefusal& refusal) {
-  if (isCertain(refusal.reason)) {
+  if (refusal.is_final || isCertain(refusal.reason)) {
     reset(packet, refusal.reason);
     return;
   }
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -21,6 +21,8 @@
 struct PlacementRefusal {
   Reason reason = Reason::None;
   Duration retry_after{};
+  /** Nothing that this node doesn't know yet could change it: the caller is told at once. */
+  bool is_final = false;
 };
 
 /** How much the caller of a flow is going to send. */
--- a/src/wire/message_codec.h
+++ b/src/wire/message_codec.h
@@ -93,17 +93,36 @@
 template <typename T>
 bool unpackValue(const msgpack::object& object, T& value);
 
+/** Structs whose last fields may be missing, and then keep their default. */
+template <typename T>
+concept HasOptionalFields = requires {
+  T::kFieldsAlwaysThere;
+};
+
+/** @return the fewest fields with which a struct may come. */
+template <typename T>
+constexpr std::size_t fewestFields(std::size_t all) {
+  if constexpr (HasOptionalFields<T>) {
+    return T::kFieldsAlwaysThere;
+  }
+  return all;
+}
+
+/** Reads as many fields as there are. */
 template <typename Fields, std::size_t... Index>
 bool unpackFields(const msgpack::object_array& array, std::size_t offset,
                   [[maybe_unused]] Fields fields, std::index_sequence<Index...>) {
-  return (unpackValue(array.ptr[offset + Index], std::get<Index>(fields)) && ...);
+  return ((offset + Index >= array.size ||
+           unpackValue(array.ptr[offset + Index], std::get<Index>(fields))) &&
+          ...);
 }
 
 template <typename T>
 bool unpackStruct(const msgpack::object_array& array, std::size_t offset, T& value) {
   auto fields = value.fields();
   constexpr std::size_t kFieldCount = std::tuple_size_v<decltype(fields)>;
-  if (array.size != offset + kFieldCount) {
+  constexpr std::size_t kFewest = fewestFields<T>(kFieldCount);
+  if (array.size < offset + kFewest || array.size > offset + kFieldCount) {
     return false;
   }
   return unpackFields(array, offset, fields, std::make_index_sequence<kFieldCount>{});
