Estimate each service's rate, response time and service time from packets

Cause: nothing in the fleet knew how loaded a service is. Change: ServiceLoadEstimator keeps fading rates and response times; ServiceTime finds the time of answers without a queue as the lowest mean of a stretch of 3 s in the last 30 s, and lets it rise afterwards only where the short answers have at least doubled. Answers that servers' rejections explain don't count. A change of work of less than two times upwards is not followed. The case of tiny answers stays green without the rule and so proves little.

--- a/src/load/service_load.h
+++ b/src/load/service_load.h
@@ -41,8 +41,8 @@
  */
 class ServiceLoadEstimator {
  public:
-  ServiceLoadEstimator(ServiceLoadSettings settings, const TimeSource& time_source)
-      : settings_(settings), time_source_(time_source) {}
+  ServiceLoadEstimator(ServiceLoadSettings settings, const TimeSource& time_source);
+  ~ServiceLoadEstimator();
 
   /** A request's first data went to a server of the service. */
   void onRequest(ServiceId service);
@@ -57,11 +57,13 @@
   void retain(const ConfigurationView& configuration);
 
  private:
-  /** To be filled by the implementation: rates and times that fade, and the shortest answers. */
   struct State;
 
+  State& stateOf(ServiceId service);
+
   const ServiceLoadSettings settings_;
   const TimeSource& time_source_;
+  std::unordered_map<ServiceId, State> states_;
 };
 
 }  // namespace lugfork
--- /dev/null
+++ b/tests/load/service_load_test.cc
@@ -0,0 +1,149 @@
+#include "load/service_load.h"
+
+#include <catch2/catch.hpp>
+
+#include "load/load_fixture.h"
+
+namespace lugfork {
+
+namespace {
+
+const ServiceId kService{1};
+
+double ms(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+/** Servers behind one balancer, to which requests come at random. */
+class EstimatorHarness {
+ public:
+  static constexpr std::size_t kServers = 10;
+
+  /** @param share of the slots that requests fill, with work of half and of one and a half times.
+   */
+  void run(Duration time, double share, Duration work) {
+    const MonotonicTime until = clock.monotonicTime() + time;
+    const double rate_ms = share * kServers * 2 / ms(work);
+    while (clock.monotonicTime() < until) {
+      clock.elapsed += milliseconds(1);
+      answer();
+      for (double due = rate_ms; due > 0; due -= 1) {
+        if (random->unit() < due) {
+          request(work / 2 + std::chrono::duration_cast<Duration>(work * random->unit()));
+        }
+      }
+    }
+  }
+
+  ServiceLoad load() const { return estimator.load(kService); }
+
+  LoadClock clock;
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(3);
+  ServiceLoadEstimator estimator{ServiceLoadSettings(), clock};
+
+ private:
+  struct Answer {
+    MonotonicTime at;
+    Duration duration{};
+    bool operator>(const Answer& other) const { return at > other.at; }
+  };
+
+  void request(Duration work) {
+    const MonotonicTime now = clock.monotonicTime();
+    estimator.onRequest(kService);
+    SlotServer& server = servers_[random->below(kServers)];
+    const MonotonicTime at =
+        server.isFull(now)
+            ? now + milliseconds(20) + Duration(static_cast<int>(random->below(25000)))
+            : server.serve(now, work);
+    answers_.push({at, at - now});
+  }
+
+  void answer() {
+    while (!answers_.empty() && answers_.top().at <= clock.monotonicTime()) {
+      estimator.onResponse(kService, answers_.top().duration);
+      answers_.pop();
+    }
+  }
+
+  std::array<SlotServer, kServers> servers_;
+  std::priority_queue<Answer, std::vector<Answer>, std::greater<>> answers_;
+};
+
+}  // namespace
+
+TEST_CASE("Rate, service time and requests in flight follow from packets at an easy load") {
+  const Duration work = GENERATE(milliseconds(17), milliseconds(700));
+  EstimatorHarness harness;
+  harness.run(seconds(20), 0.4, work);
+  const ServiceLoad load = harness.load();
+  CHECK(load.requests_per_second == Approx(8000 / ms(work)).epsilon(0.35));
+  CHECK(ms(load.service_time) == Approx(ms(work)).epsilon(0.3));
+  CHECK(load.requestsPerBusySlot() < 1.5);
+  if (work < milliseconds(100)) {
+    CHECK(load.in_flight == Approx(8.5).epsilon(0.35));
+  }
+}
+
+TEST_CASE("The queue of an overload shows within a second, and its end as well") {
+  EstimatorHarness harness;
+  harness.run(seconds(5), 0.5, milliseconds(60));
+  harness.run(seconds(1), 2, milliseconds(60));
+  CHECK(harness.load().requestsPerBusySlot() > 2.5);
+  harness.run(seconds(2), 0.5, milliseconds(60));
+  CHECK(harness.load().requestsPerBusySlot() < 1.6);
+}
+
+TEST_CASE("The service time stays through an overload as long as the memory") {
+  const Duration work = GENERATE(milliseconds(17), milliseconds(60), milliseconds(700));
+  const double overload = GENERATE(1.3, 2.0, 6.0);
+  EstimatorHarness harness;
+  harness.run(seconds(15), 0.5, work);
+  harness.run(seconds(28), overload, work);
+  CAPTURE(ms(work), overload);
+  CHECK(ms(harness.load().service_time) == Approx(ms(work)).epsilon(0.4));
+}
+
+TEST_CASE("A queue that stands for minutes near the limit isn't taken for work") {
+  EstimatorHarness harness;
+  harness.run(seconds(5), 0.5, milliseconds(60));
+  harness.run(seconds(120), 0.95, milliseconds(60));
+  CHECK(ms(harness.load().service_time) < 100);
+}
+
+TEST_CASE("A real change of work is followed once the memory has passed") {
+  const Duration before = GENERATE(milliseconds(20), milliseconds(700));
+  const Duration after = before == milliseconds(20) ? milliseconds(80) : milliseconds(30);
+  EstimatorHarness harness;
+  harness.run(seconds(10), 0.4, before);
+  harness.run(seconds(50), 0.4, after);
+  CHECK(ms(harness.load().service_time) == Approx(ms(after)).epsilon(0.4));
+}
+
+TEST_CASE("A few tiny answers don't count as work") {
+  EstimatorHarness harness;
+  for (int second = 0; second < 10; ++second) {
+    harness.run(seconds(1), 0.4, milliseconds(60));
+    for (int i = 0; i < 10; ++i) {
+      harness.estimator.onResponse(kService, Duration(i * 100));
+    }
+  }
+  CHECK(ms(harness.load().service_time) == Approx(60).epsilon(0.3));
+  CHECK(harness.load().requestsPerBusySlot() < 1.5);
+}
+
+TEST_CASE("Too few answers say nothing, and no service is remembered that isn't declared") {
+  EstimatorHarness harness;
+  CHECK(harness.load().requestsPerBusySlot() == 0);
+  CHECK(harness.load().in_flight == 0);
+  for (int i = 0; i < 5; ++i) {
+    harness.estimator.onRequest(kService);
+    harness.estimator.onResponse(kService, Duration(-5));
+  }
+  CHECK(harness.load().requestsPerBusySlot() == 0);
+  CHECK(harness.load().requests_per_second > 0);
+  harness.estimator.retain(ConfigurationView(Configuration()));
+  CHECK(harness.load().requests_per_second == 0);
+}
+
+}  // namespace lugfork
