Overflow between zones by the demand of the own zone

Cause: response times show a full zone only once its callers wait.

LocalityRouter keeps what fills the zone's usable slots to 70% and sends the rest beyond at once, quantised and with hysteresis; takes it back where all zones wait alike; response times go on as the correction. PlacementEngine::setZoneDemand is the hook, unset by default. OverflowCause::Demand is counted and logged like the others.

The whole of flow_tests was not yet run at this commit.

--- a/src/flow/locality_router.cc
+++ b/src/flow/locality_router.cc
@@ -35,6 +35,15 @@
  * a zone).
  */
 constexpr int kVeryLateSteps = 4;
+/**
+ * Steps by which the demand must fall before its level follows: an estimate from a hundred requests
+ * errs by a tenth, which is up to two steps, and balancers must not go to and fro for that.
+ */
+constexpr int kDemandHysteresis = 2;
+/** Steps of those by demand that are taken back at once where they gained nothing. */
+constexpr int kReliefSteps = 2;
+/** Part of a step by which the demand must pass a level before it rises, for the same reason. */
+constexpr double kDemandTolerance = 0.5;
 
 }  // namespace
 
@@ -58,6 +67,8 @@
       return "capacity";
     case OverflowCause::ResponseTime:
       return "response_time";
+    case OverflowCause::Demand:
+      return "demand";
   }
   return "unknown";
 }
@@ -91,7 +102,11 @@
     state.level = 0;
     state.others = LogTimeStatistics(kOthersLifetime);
   }
+  followDemand(state, capacity);
+  relieve(state, capacity);
   const int floor = floorOf(state, capacity);
+  const OverflowCause floor_cause =
+      state.demand_level ? OverflowCause::Demand : OverflowCause::Capacity;
   if (!state.assessed) {
     state.assessed = true;
     state.own = LogTimeStatistics(kOwnLifetime);
@@ -102,7 +117,7 @@
   }
   move(state, floor);
   if (state.level == floor) {
-    state.cause = floor == 0 ? OverflowCause::None : OverflowCause::Capacity;
+    state.cause = floor == 0 ? OverflowCause::None : floor_cause;
   }
   if (state.level != level_before) {
     logStep(service, state, capacity);
@@ -112,9 +127,8 @@
 void LocalityRouter::move(State& state, int floor) const {
   const MonotonicTime now = time_source_.monotonicTime();
   if (floor > state.level) {
-    // Lost slots count at once: until late answers showed the loss, callers would have waited.
+    // Lost slots and new demand count at once: until late answers showed them, callers would wait.
     raise(state, floor, 0, now);
-    state.cause = OverflowCause::Capacity;
     return;
   }
   const Lateness seen =
@@ -159,6 +173,11 @@
   if (settings_.mode == LocalityMode::Constant || state.even_share >= 1) {
     return 0;
   }
+  return state.demand_level ? std::max(0, *state.demand_level - state.relief)
+                            : capacityLevel(state, capacity);
+}
+
+int LocalityRouter::capacityLevel(const State& state, const LocalityCapacity& capacity) const {
   const double zones = static_cast<double>(std::max<std::size_t>(capacity.zones, 1));
   const double usable =
       capacity.all_usable > 0 ? capacity.own_usable / capacity.all_usable : state.even_share;
@@ -168,6 +187,56 @@
   return std::clamp(static_cast<int>(std::ceil(away * kSteps - 1e-9)), 0, kSteps);
 }
 
+void LocalityRouter::followDemand(State& state, const LocalityCapacity& capacity) const {
+  if (capacity.demand.busy_slots <= 0 || state.even_share >= 1) {
+    state.demand_level.reset();
+    state.relief = 0;
+    return;
+  }
+  const double kept =
+      settings_.target_utilisation * capacity.own_usable / capacity.demand.busy_slots;
+  // Negative where the zone has room to spare: hysteresis counts that too.
+  const double away = (1 - kept) / (1 - state.even_share) * kSteps;
+  const bool in_band = state.demand_level && away <= *state.demand_level + kDemandTolerance &&
+                       away >= *state.demand_level - kDemandHysteresis;
+  if (!in_band) {
+    const double bounded = std::clamp(away, 0.0, static_cast<double>(kSteps));
+    state.demand_level = static_cast<int>(std::ceil(bounded - 1e-9));
+  }
+  state.relief = std::min(state.relief, *state.demand_level);
+}
+
+bool LocalityRouter::gainsNothing(const State& state, Duration service_time,
+                                  MonotonicTime now) const {
+  if (std::min(state.own.count(now), state.others.count(now)) < kSamplesNeeded) {
+    return false;
+  }
+  const double difference = state.own.mean() - state.others.mean();
+  const double error = std::sqrt(state.own.varianceOfMean(now) + state.others.varianceOfMean(now));
+  const double service_ms = std::chrono::duration<double, std::milli>(service_time).count();
+  return difference + error < std::log(settings_.in_time_below) &&
+         state.others.typicalMs() > settings_.waits_from * service_ms;
+}
+
+void LocalityRouter::relieve(State& state, const LocalityCapacity& capacity) const {
+  const MonotonicTime now = time_source_.monotonicTime();
+  const bool stands_by_demand = state.demand_level && state.relief < *state.demand_level &&
+                                state.level == *state.demand_level - state.relief;
+  if (settings_.mode != LocalityMode::Adaptive || !stands_by_demand ||
+      !gainsNothing(state, capacity.demand.service_time, now)) {
+    state.relief_not_before = now;
+    return;
+  }
+  if (now - state.relief_not_before < state.return_interval / 2) {
+    return;
+  }
+  const int before = state.relief;
+  state.relief = std::min(state.relief + kReliefSteps, *state.demand_level);
+  state.level -= state.relief - before;
+  state.returned_last = true;
+  state.relief_not_before = now;
+}
+
 bool LocalityRouter::ownZoneSuffices(const LocalityCapacity& capacity) const {
   return settings_.mode != LocalityMode::Constant && capacity.own_slots > 0 &&
          settings_.headroom * static_cast<double>(capacity.zones) * capacity.own_usable >=
--- a/src/flow/locality_router.h
+++ b/src/flow/locality_router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 
@@ -9,6 +10,7 @@
 #include "common/time_source.h"
 #include "config/configuration.h"
 #include "flow/log_time_statistics.h"
+#include "load/zone_demand.h"
 
 namespace lugfork {
 
@@ -26,7 +28,7 @@
 std::string_view toString(LocalityMode mode);
 
 /** Why more new flows leave the own zone than with its largest weight. */
-enum class OverflowCause { None, Capacity, ResponseTime, Last = ResponseTime };
+enum class OverflowCause { None, Capacity, ResponseTime, Demand, Last = Demand };
 
 std::string_view toString(OverflowCause cause);
 
@@ -43,6 +45,17 @@
    * even part of the usable slots; overload above that shows in response times.
    */
   double headroom = 2;
+  /**
+   * Part of its usable slots that the own zone's callers may keep busy where their demand is known.
+   * At 0.7 a request waits about as long as its work takes at servers of two slots (0.6 times at
+   * 0.6, 1.8 times at 0.8), and the rest takes what other zones send.
+   */
+  double target_utilisation = 0.7;
+  /**
+   * Multiple of the service time from which callers of other zones are seen to wait there. Then,
+   * and where the own zone answers no later, nothing is gained by leaving it.
+   */
+  double waits_from = 1.5;
   /** Multiple of others' response times from which the own zone counts as late... */
   double late_from = 1.3;
   /** ...and below which it no longer does; between the two the share stays as it is. */
@@ -70,6 +83,8 @@
   double all_usable = 0;
   /** Zones that may have callers. */
   std::size_t zones = 1;
+  /** What the callers of the own zone ask, wherever they are served. */
+  DemandEstimate demand = {};
 };
 
 /** Flows placed since the start of the process. */
@@ -82,10 +97,12 @@
 /**
  * Finds by service how much more the back ends of the own zone weigh in the placement of new flows.
  * The share of the own zone moves in a few steps between all and the even one, which its slots
- * alone would give: at once where its usable slots are few; where its back ends answer later than
- * others, one step at a time, or several where they are very late; and back one by one. Balancers
- * that see much the same stand on the same step, and a flow's hash then gives the same choice on
- * each.
+ * alone would give: at once where its callers are known to keep more slots busy than it should
+ * serve, or, where that is not known, where its usable slots are few; where its back ends answer
+ * later than others, one step at a time, or several where they are very late; and back one by one.
+ * What demand alone sends beyond is taken back step by step where others' callers wait as long as
+ * those of the own zone: then all are full, and nothing is gained. Balancers that see much the same
+ * stand on the same step, and a flow's hash then gives the same choice on each.
  */
 class LocalityRouter {
  public:
@@ -128,6 +145,12 @@
     MonotonicTime not_before;
     Duration return_interval{};
     bool returned_last = false;
+    /** Steps that the demand calls for, with hysteresis; unset where it is not known. */
+    std::optional<int> demand_level;
+    /** Of these, steps taken back since they gained nothing. */
+    int relief = 0;
+    /** Last time that speaks against taking one more back. */
+    MonotonicTime relief_not_before;
     LogTimeStatistics own;
     LogTimeStatistics others;
     LocalityCounters counters;
@@ -140,6 +163,14 @@
   double shareAt(const State& state) const;
   /** @return least steps away from the own zone that its usable slots call for. */
   int floorOf(const State& state, const LocalityCapacity& capacity) const;
+  /** The same by usable slots alone, where the demand is not known. */
+  int capacityLevel(const State& state, const LocalityCapacity& capacity) const;
+  /** Brings the steps that the demand calls for up to date. */
+  void followDemand(State& state, const LocalityCapacity& capacity) const;
+  /** Takes back a step of these where both sides answer alike. */
+  void relieve(State& state, const LocalityCapacity& capacity) const;
+  /** @return true where others' callers wait too, and the own zone's are answered no later. */
+  bool gainsNothing(const State& state, Duration service_time, MonotonicTime now) const;
   /** @return how much later the own zone answers; InTime where there are too few answers. */
   Lateness lateness(const State& state, MonotonicTime now) const;
   /** Moves away from the own zone, by the steps and at least to the floor. */
--- a/src/flow/placement_engine.cc
+++ b/src/flow/placement_engine.cc
@@ -270,7 +270,7 @@
 }
 
 void PlacementEngine::assessLocality(const Service& service, CandidateList& list) {
-  const LocalityCapacity capacity = capacityOf(list);
+  const LocalityCapacity capacity = capacityOf(service.id, list);
   locality_->assess(service, capacity);
   if (locality_->ownZoneSuffices(capacity)) {
     // In a zone that is cut off most back ends are silent, and those of the zone serve its callers.
@@ -278,7 +278,7 @@
   }
 }
 
-LocalityCapacity PlacementEngine::capacityOf(const CandidateList& list) const {
+LocalityCapacity PlacementEngine::capacityOf(ServiceId service, const CandidateList& list) const {
   const MonotonicTime now = time_source_.monotonicTime();
   LocalityCapacity capacity;
   capacity.zones = configuration_->document().zones.size();
@@ -294,6 +294,7 @@
       capacity.own_usable += usable_slots;
     }
   }
+  capacity.demand = zone_demand_ ? zone_demand_(service) : DemandEstimate();
   return capacity;
 }
 
--- a/src/flow/placement_engine.h
+++ b/src/flow/placement_engine.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "common/result.h"
 #include "config/live_configuration.h"
@@ -113,6 +115,14 @@
   /** Sets what finds the own zone's weight; without it, it is the settings' constant. */
   void setLocality(LocalityRouter* locality) { locality_ = locality; }
 
+  /**
+   * Sets what estimates what the callers of the local zone ask of a service; it is asked a few
+   * times a second. Without it that is not known.
+   */
+  void setZoneDemand(std::function<DemandEstimate(ServiceId)> demand) {
+    zone_demand_ = std::move(demand);
+  }
+
   /** Takes data-path evidence of how long a back end took to answer. */
   void onResponse(const Backend& backend, Duration duration);
 
@@ -148,7 +158,7 @@
 
   /** Tells the LocalityRouter what the candidates can take. */
   void assessLocality(const Service& service, CandidateList& list);
-  LocalityCapacity capacityOf(const CandidateList& list) const;
+  LocalityCapacity capacityOf(ServiceId service, const CandidateList& list) const;
   double localWeight(ServiceId service, FlowVolume volume) const;
   bool isLocal(const Backend& backend) const { return backend.zone == local_zone_; }
   /** Leaves out back ends in zones that can't be reached, unless none would be left. */
@@ -175,6 +185,7 @@
   ColdServerLimit* cold_limit_ = nullptr;
   const RequestsInFlight* in_flight_ = nullptr;
   LocalityRouter* locality_ = nullptr;
+  std::function<DemandEstimate(ServiceId)> zone_demand_;
   ConfigurationViewPtr configuration_;
   std::unordered_map<ServiceId, CandidateList> candidates_;
   std::uint64_t candidates_made_ = 0;
--- a/tests/flow/load_replay.h
+++ b/tests/flow/load_replay.h
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "flow/router_harness.h"
+#include "load/zone_demand.h"
 
 /** Zones of callers, balancers and servers with queues, in steps of a millisecond. */
 namespace lugfork {
@@ -67,6 +68,16 @@
 struct ReplayWay {
   LocalityMode mode = LocalityMode::Adaptive;
   double weight = 50;
+  /** Service time that a balancer believes, over the true one; 0: the zone's demand isn't asked. */
+  double service_time_factor = 0;
+};
+
+/** Balancers and servers of each zone. */
+struct ReplayShape {
+  std::uint32_t nodes_of_zone = kNodesOfZone;
+  std::array<std::uint32_t, kReplayZones> servers = {kServersOfZone, kServersOfZone,
+                                                     kServersOfZone};
+  std::uint64_t seed = 11;
 };
 
 class LoadReplay {
@@ -74,18 +85,21 @@
   static constexpr Duration kAim = milliseconds(100);
 
   /** @param nodes_of_zone balancers in each zone: with many, each sees few flows. */
-  explicit LoadReplay(ReplayWay way, std::uint32_t nodes_of_zone = kNodesOfZone) {
+  explicit LoadReplay(ReplayWay way, std::uint32_t nodes_of_zone = kNodesOfZone)
+      : LoadReplay(way, ReplayShape{nodes_of_zone}) {}
+
+  LoadReplay(ReplayWay way, const ReplayShape& shape) : random_(makeSeededRandom(shape.seed)) {
     configuration.zones.clear();
     configuration.backends.clear();
     configuration.services = {{ServiceId(1), "feed", kListen, {}}};
     for (std::uint32_t zone = 1; zone <= kReplayZones; ++zone) {
       configuration.zones.push_back({ZoneId(zone), zoneName(zone), ""});
       configuration.services[0].allowed_zones.push_back(ZoneId(zone));
-      for (std::uint32_t server = 0; server < kServersOfZone; ++server) {
+      for (std::uint32_t server = 0; server < shape.servers[zone - 1]; ++server) {
         configuration.backends.push_back(
             makeBackend(zone * 100 + server, ServiceId(1), ZoneId(zone)));
       }
-      for (std::uint32_t node = 0; node < nodes_of_zone; ++node) {
+      for (std::uint32_t node = 0; node < shape.nodes_of_zone; ++node) {
         nodes_[zone].push_back(std::make_unique<Node>(zone, way, *this));
       }
     }
@@ -142,6 +156,20 @@
     return found == taken_.end() ? 0 : found->second;
   }
 
+  /** @return standard deviation of the own zone's share by weight among a zone's balancers. */
+  double spread(std::uint32_t zone) const {
+    const auto& nodes = nodes_.at(zone);
+    double sum = 0;
+    double squares = 0;
+    for (const auto& node : nodes) {
+      const double share = node->locality.ownShare(ServiceId(1));
+      sum += share;
+      squares += share * share;
+    }
+    const double mean = sum / static_cast<double>(nodes.size());
+    return std::sqrt(std::max(0.0, squares / static_cast<double>(nodes.size()) - mean * mean));
+  }
+
   LocalityRouter& locality(std::uint32_t zone, std::size_t node) {
     return nodes_[zone][node]->locality;
   }
@@ -156,6 +184,32 @@
   std::map<std::uint32_t, double> load;
 
  private:
+  /** Requests a second, smoothed as ServiceLoad's. */
+  struct FadingRate {
+    double rate(MonotonicTime now) {
+      fade(now);
+      const std::chrono::duration<double> seen = now - first_at;
+      return seen.count() > 0 ? value / (1 - std::exp(-seen.count() / kSmoothing)) : 0;
+    }
+    void add(MonotonicTime now) {
+      if (first_at == MonotonicTime()) {
+        first_at = now;
+      }
+      fade(now);
+      value += 1 / kSmoothing;
+    }
+    void fade(MonotonicTime now) {
+      const std::chrono::duration<double> elapsed = now - updated_at;
+      updated_at = now;
+      value *= std::exp(-elapsed.count() / kSmoothing);
+    }
+
+    static constexpr double kSmoothing = 0.5;
+    double value = 0;
+    MonotonicTime first_at;
+    MonotonicTime updated_at;
+  };
+
   struct Node {
     Node(std::uint32_t zone, ReplayWay way, LoadReplay& replay)
         : random(makeSeededRandom(zone)),
@@ -164,7 +218,16 @@
           in_flight(replay.time),
           locality(settingsOf(way), replay.time, log),
           engine(placementOf(zone), makePlacementPolicy("bounded_rendezvous"), loads, replay.time,
-                 *random) {
+                 *random),
+          demand(ZoneDemandSettings(), replay.time) {
+      if (way.service_time_factor > 0) {
+        const Duration believed(
+            static_cast<std::int64_t>(1000 * kWorkMs * way.service_time_factor));
+        engine.setZoneDemand([this, believed, &replay](ServiceId service) {
+          const double rate = requests.rate(replay.time.monotonicTime());
+          return demand.update(service, {rate, believed, {}, 0}, {replay.nodes_[1].size(), 1, 1});
+        });
+      }
       engine.setSpeed(&speed);
       engine.setRequestsInFlight(&in_flight);
       engine.setLocality(&locality);
@@ -192,6 +255,8 @@
     RequestsInFlight in_flight;
     LocalityRouter locality;
     PlacementEngine engine;
+    FadingRate requests;
+    ZoneDemand demand;
   };
 
   struct Answer {
@@ -230,6 +295,7 @@
 
   void open(std::uint32_t zone, Node& node) {
     const FlowId flow{zone, ++flows_};
+    node.requests.add(time.monotonicTime());
     const auto placed = node.engine.place(*view_->service(ServiceId(1)), flow);
     ZoneSecond& second = seconds_.back()[zone];
     ++second.flows;
@@ -261,7 +327,7 @@
     }
   }
 
-  std::unique_ptr<RandomGenerator> random_ = makeSeededRandom(11);
+  std::unique_ptr<RandomGenerator> random_;
   ConfigurationViewPtr view_;
   std::map<std::uint32_t, std::vector<std::unique_ptr<Node>>> nodes_;
   std::priority_queue<Answer, std::vector<Answer>, std::greater<>> answers_;
--- /dev/null
+++ b/tests/flow/locality_demand_test.cc
@@ -0,0 +1,156 @@
+#include <catch2/catch.hpp>
+#include <cmath>
+
+#include "flow/locality_router.h"
+#include "flow/router_harness.h"
+
+/** The own zone's share by the demand of its callers, at one router. */
+namespace lugfork {
+namespace {
+
+constexpr ServiceId kFeed{1};
+
+/** One router, of a zone with a tenth of 240 slots. */
+struct DemandRouterHarness {
+  DemandRouterHarness() : router(make(), time, log) {}
+
+  static LocalitySettings make() {
+    LocalitySettings settings;
+    settings.largest_weight = 50;
+    settings.largest_bulk_weight = 50;
+    return settings;
+  }
+
+  double assess(double demand) {
+    const Service service{kFeed, "feed", kListen, {kLac, kAriana}};
+    capacity.demand = {demand, milliseconds(25)};
+    router.assess(service, capacity);
+    return router.ownShare(kFeed);
+  }
+
+  /** Lets half seconds pass, each with some answers from both sides. */
+  void pass(int halves, double demand, int own_ms, int others_ms) {
+    for (int half = 0; half < halves; ++half) {
+      for (int answer = 0; answer < 10; ++answer) {
+        time.elapsed += milliseconds(50);
+        router.onResponse(kFeed, true, milliseconds(own_ms * (answer % 2 == 0 ? 4 : 2) / 3));
+        router.onResponse(kFeed, false, milliseconds(others_ms * (answer % 2 == 0 ? 4 : 2) / 3));
+      }
+      assess(demand);
+    }
+  }
+
+  ManualTimeSource time;
+  NullEventLog log;
+  LocalityCapacity capacity{24, 24, 240, 240, 3};
+  LocalityRouter router;
+};
+
+TEST_CASE("a zone keeps what fills its slots to the target, at once", "[locality][demand]") {
+  struct Row {
+    const char* name;
+    double own_usable;
+    double demand;
+    double most_share;
+    double least_share;
+  };
+  const Row rows[] = {
+      {"few callers stay, however few the slots", 24, 12, 0.85, 0.84},
+      {"just at the target", 24, 16.8, 0.85, 0.84},
+      {"twice the target", 24, 33.6, 0.5, 0.43},
+      {"more than all slots of all zones", 24, 400, 0.101, 0.099},
+      {"half of the slots lost", 12, 16.8, 0.5, 0.43},
+      {"all slots lost", 0, 1, 0.101, 0.099},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    DemandRouterHarness harness;
+    harness.capacity.own_usable = row.own_usable;
+    harness.capacity.all_usable = 216 + row.own_usable;
+    const double share = harness.assess(row.demand);
+    CHECK(share <= row.most_share);
+    CHECK(share >= row.least_share);
+    const bool keeps_all = row.least_share > 0.8;
+    CHECK(harness.router.cause(kFeed) == (keeps_all ? OverflowCause::None : OverflowCause::Demand));
+  }
+}
+
+TEST_CASE("a demand that is not known leaves the share to the slots", "[locality][demand]") {
+  DemandRouterHarness harness;
+  const double by_slots = harness.assess(0);
+  CHECK(by_slots < 0.65);
+  CHECK(harness.router.cause(kFeed) == OverflowCause::Capacity);
+  harness.time.elapsed += seconds(1);
+  harness.assess(100);
+  CHECK(harness.router.ownShare(kFeed) < 0.2);
+  harness.time.elapsed += seconds(60);
+  for (int step = 0; step < 300; ++step) {
+    harness.time.elapsed += milliseconds(200);
+    harness.assess(0);
+  }
+  CHECK(harness.router.ownShare(kFeed) == Approx(by_slots));
+}
+
+TEST_CASE("a demand that wavers by a tenth does not move the share", "[locality][demand]") {
+  for (const double mean : {16.8, 20.0, 30.0, 60.0}) {
+    INFO("demand " << mean);
+    DemandRouterHarness harness;
+    harness.assess(1.05 * mean);
+    harness.time.elapsed += seconds(60);
+    const double share = harness.assess(1.05 * mean);
+    for (int step = 0; step < 600; ++step) {
+      harness.time.elapsed += milliseconds(200);
+      REQUIRE(harness.assess(mean * (1 + 0.05 * std::sin(step))) == Approx(share));
+    }
+  }
+}
+
+TEST_CASE("callers who leave are followed back", "[locality][demand]") {
+  DemandRouterHarness harness;
+  harness.assess(60);
+  REQUIRE(harness.router.ownShare(kFeed) < 0.35);
+  for (int step = 0; step < 150; ++step) {
+    harness.time.elapsed += milliseconds(200);
+    harness.assess(10);
+  }
+  CHECK(harness.router.weight(kFeed, false) == 50);
+  CHECK(harness.router.cause(kFeed) == OverflowCause::None);
+}
+
+TEST_CASE("where all zones answer alike, what demand sends beyond comes back",
+          "[locality][demand]") {
+  DemandRouterHarness harness;
+  harness.assess(40);
+  REQUIRE(harness.router.ownShare(kFeed) < 0.5);
+  harness.pass(120, 40, 80, 80);
+  CHECK(harness.router.weight(kFeed, false) == 50);
+  // More callers than that count at once again.
+  harness.assess(80);
+  CHECK(harness.router.ownShare(kFeed) < 0.8);
+  CHECK(harness.router.cause(kFeed) == OverflowCause::Demand);
+}
+
+TEST_CASE("where others answer earlier, what demand sends beyond stays there",
+          "[locality][demand]") {
+  DemandRouterHarness harness;
+  const double share = harness.assess(40);
+  harness.pass(120, 40, 36, 30);
+  CHECK(harness.router.ownShare(kFeed) == Approx(share));
+  // Response times go on from there.
+  harness.pass(10, 40, 80, 30);
+  CHECK(harness.router.ownShare(kFeed) < share);
+  CHECK(harness.router.cause(kFeed) == OverflowCause::ResponseTime);
+}
+
+TEST_CASE("few answers take nothing back that demand sends beyond", "[locality][demand]") {
+  DemandRouterHarness harness;
+  const double share = harness.assess(40);
+  for (int step = 0; step < 300; ++step) {
+    harness.time.elapsed += milliseconds(200);
+    harness.assess(40);
+  }
+  CHECK(harness.router.ownShare(kFeed) == Approx(share));
+}
+
+}  // namespace
+}  // namespace lugfork
--- /dev/null
+++ b/tests/flow/overflow_by_demand_test.cc
@@ -0,0 +1,262 @@
+#include <catch2/catch.hpp>
+
+#include "flow/load_replay.h"
+
+/**
+ * Overflow by the demand of the own zone. A zone's even part is 20 slots of 60; a balancer of 25 in
+ * a zone sees 13 to 50 requests a second, one of eight sees 40 to 150.
+ */
+namespace lugfork {
+namespace {
+
+constexpr ReplayWay kByTimes{LocalityMode::Adaptive, 50};
+constexpr ReplayWay kByDemand{LocalityMode::Adaptive, 50, 1};
+constexpr std::uint64_t kSeeds[] = {11, 12, 13};
+using Servers = std::array<std::uint32_t, kReplayZones>;
+using Loads = std::array<double, kReplayZones>;
+
+constexpr Servers kUnequal{21, 6, 3};
+constexpr Servers kEqual{10, 10, 10};
+
+void setLoad(LoadReplay& replay, const Loads& loads) {
+  for (std::uint32_t zone = 1; zone <= kReplayZones; ++zone) {
+    replay.load[zone] = loads[zone - 1];
+  }
+}
+
+LoadReplay start(ReplayWay way, const ReplayShape& shape, const Loads& loads) {
+  LoadReplay replay(way, shape);
+  setLoad(replay, loads);
+  return replay;
+}
+
+double lateShare(const ZoneSecond& sum) {
+  return static_cast<double>(sum.late + sum.refused) / std::max(sum.flows, 1);
+}
+
+/** @return late or refused share of all zones' flows in the last seconds. */
+double lateOfAll(const LoadReplay& replay, std::size_t count) {
+  ZoneSecond total;
+  for (std::uint32_t zone = 1; zone <= kReplayZones; ++zone) {
+    const ZoneSecond sum = replay.sum(zone, count);
+    total.flows += sum.flows;
+    total.late += sum.late;
+    total.refused += sum.refused;
+  }
+  return lateShare(total);
+}
+
+double worstZone(const LoadReplay& replay, std::size_t count) {
+  double worst = 0;
+  for (std::uint32_t zone = 1; zone <= kReplayZones; ++zone) {
+    worst = std::max(worst, lateShare(replay.sum(zone, count)));
+  }
+  return worst;
+}
+
+TEST_CASE("unequal zones serve even callers in time from the first second on",
+          "[locality][demand]") {
+  struct Row {
+    const char* name;
+    Servers servers;
+    Loads loads;
+    double first_second;
+  };
+  const Row rows[] = {
+      {"21, 6 and 3 servers, callers even", kUnequal, {0.56, 0.56, 0.56}, 0.03},
+      {"3, 3 and 24 servers, callers even", {3, 3, 24}, {0.56, 0.56, 0.56}, 0.06},
+      {"most callers where most servers are", kUnequal, {1.3, 0.2, 0.2}, 0.01},
+      {"most callers where fewest servers are", kUnequal, {0.2, 0.2, 1.28}, 0.09},
+  };
+  for (const Row& row : rows) {
+    for (const std::uint64_t seed : kSeeds) {
+      INFO(row.name << ", seed " << seed);
+      LoadReplay replay = start(kByDemand, {25, row.servers, seed}, row.loads);
+      replay.run(1);
+      CHECK(lateOfAll(replay, 1) < row.first_second);
+      replay.run(1);
+      CHECK(worstZone(replay, 1) < 0.03);
+      replay.run(28);
+      CHECK(worstZone(replay, 28) < 0.01);
+    }
+  }
+}
+
+TEST_CASE("response times alone show unequal zones a second or two later", "[locality][demand]") {
+  // The replay tells the ways apart.
+  LoadReplay replay = start(kByTimes, {25, kUnequal}, {0.56, 0.56, 0.56});
+  replay.run(2);
+  CHECK(lateOfAll(replay, 2) > 0.06);
+}
+
+TEST_CASE("balancers that see 40 requests a second know unequal zones within half a second",
+          "[locality][demand]") {
+  for (const std::uint64_t seed : kSeeds) {
+    INFO("seed " << seed);
+    LoadReplay replay = start(kByDemand, {8, kUnequal, seed}, {0.56, 0.56, 0.56});
+    replay.run(1);
+    CHECK(worstZone(replay, 1) < 0.02);
+  }
+}
+
+TEST_CASE("flows stay in a zone that has room by demand, however few its slots",
+          "[locality][demand]") {
+  const auto ownShare = [](ReplayWay way) {
+    LoadReplay replay = start(way, {25, kUnequal}, {0.5, 0.3, 0.1});
+    replay.run(20);
+    CHECK(worstZone(replay, 20) < 0.01);
+    return replay.sum(3, 10).ownShare();
+  };
+  // What the largest weight gives to a tenth of the slots.
+  CHECK(ownShare(kByDemand) > 0.8);
+  CHECK(ownShare(kByTimes) < ownShare(kByDemand) - 0.1);
+}
+
+TEST_CASE("a burst of three times in one zone goes beyond within its first second",
+          "[locality][demand]") {
+  const auto play = [](ReplayWay way, std::uint32_t nodes, std::uint64_t seed) {
+    LoadReplay replay = start(way, {nodes, kEqual, seed}, {0.4, 0.4, 0.4});
+    replay.run(5);
+    replay.load[1] = 1.2;
+    replay.run(1);
+    return replay;
+  };
+  for (const std::uint64_t seed : kSeeds) {
+    INFO("seed " << seed);
+    LoadReplay replay = play(kByDemand, 8, seed);
+    CHECK(lateOfAll(replay, 1) < 0.05);
+    replay.run(4);
+    CHECK(worstZone(replay, 4) < 0.02);
+    replay.load[1] = 0.4;
+    replay.run(20);
+    CHECK(worstZone(replay, 20) < 0.01);
+    CHECK(replay.sum(1, 5).ownShare() > 0.93);
+    // Where a balancer sees a dozen requests a second, later.
+    LoadReplay weak = play(kByDemand, 25, seed);
+    CHECK(lateOfAll(weak, 1) < 0.6 * lateOfAll(play(kByTimes, 25, seed), 1));
+    weak.run(4);
+    CHECK(worstZone(weak, 4) < 0.02);
+  }
+}
+
+TEST_CASE("a zone that loses all servers but one sends its callers beyond at once",
+          "[locality][demand]") {
+  for (const bool draining : {false, true}) {
+    INFO("draining " << draining);
+    LoadReplay replay = start(kByDemand, {25, kEqual}, {0.5, 0.5, 0.5});
+    replay.run(5);
+    for (Backend& backend : replay.configuration.backends) {
+      backend.draining = draining && backend.zone == ZoneId(1) && backend.id != BackendId(100);
+    }
+    if (!draining) {
+      std::erase_if(replay.configuration.backends, [](const Backend& backend) {
+        return backend.zone == ZoneId(1) && backend.id != BackendId(100);
+      });
+    }
+    replay.apply();
+    replay.run(1);
+    CHECK(worstZone(replay, 1) < 0.03);
+    CHECK(replay.sum(1, 1).ownShare() < 0.2);
+    replay.run(9);
+    CHECK(worstZone(replay, 9) < 0.04);
+  }
+}
+
+TEST_CASE("a service time that errs by two is no worse than none, or costs bytes alone",
+          "[locality][demand]") {
+  const auto play = [](double factor) {
+    LoadReplay replay =
+        start({LocalityMode::Adaptive, 50, factor}, {25, kUnequal}, {0.56, 0.56, 0.56});
+    replay.run(2);
+    return replay;
+  };
+  LoadReplay times = play(0);
+  LoadReplay half = play(0.5);
+  CHECK(lateOfAll(half, 2) < lateOfAll(times, 2) + 0.01);
+  LoadReplay twice = play(2);
+  CHECK(lateOfAll(twice, 2) < 0.03);
+  for (LoadReplay* replay : {&half, &twice}) {
+    replay->run(28);
+    CHECK(worstZone(*replay, 25) < 0.02);
+  }
+  CHECK(half.sum(2, 5).ownShare() > 0.5);
+  CHECK(twice.sum(2, 5).ownShare() > 0.25);
+}
+
+TEST_CASE("servers that turn twice as slow as their slots say are relieved by response times",
+          "[locality][demand]") {
+  const auto play = [](double factor) {
+    LoadReplay replay = start({LocalityMode::Adaptive, 50, factor}, {25, kEqual}, {0.45, 0.3, 0.3});
+    replay.run(5);
+    for (std::uint32_t server = 100; server < 110; ++server) {
+      replay.servers[server].slowness = 2;
+    }
+    replay.run(10);
+    return replay;
+  };
+  // The demand counts with the old service time: it must not hold the response times back.
+  LoadReplay replay = play(1);
+  CHECK(lateOfAll(replay, 10) < lateOfAll(play(0), 10) + 0.01);
+  replay.run(10);
+  CHECK(worstZone(replay, 10) < 0.02);
+}
+
+TEST_CASE("in a zone that is cut off all flows stay with its servers, whatever the demand",
+          "[locality][demand]") {
+  LoadReplay replay = start(kByDemand, {25, kEqual}, {0.3, 0.3, 0.3});
+  replay.run(3);
+  for (std::uint32_t server = 0; server < kServersOfZone; ++server) {
+    replay.suspicion.suspects.insert(200 + server);
+    replay.suspicion.suspects.insert(300 + server);
+  }
+  replay.run(2);
+  CHECK(replay.sum(1, 1).ownShare() == 1);
+  CHECK(replay.sum(1, 2).refused == 0);
+  // Where only the servers of the own zone are silent all go beyond.
+  replay.suspicion.suspects.clear();
+  replay.run(5);
+  for (std::uint32_t server = 100; server < 110; ++server) {
+    replay.suspicion.suspects.insert(server);
+  }
+  replay.run(2);
+  CHECK(replay.sum(1, 1).own == 0);
+  CHECK(replay.sum(1, 1).refused == 0);
+}
+
+TEST_CASE("where all zones are full nothing is gained beyond, and no share drifts",
+          "[locality][demand]") {
+  for (const double load : {0.8, 1.0, 1.3}) {
+    INFO("load " << load);
+    LoadReplay replay = start(kByDemand, {25, kEqual}, {load, load, load});
+    LoadReplay times = start(kByTimes, {25, kEqual}, {load, load, load});
+    replay.run(40);
+    times.run(40);
+    CHECK(lateOfAll(replay, 40) < lateOfAll(times, 40) + 0.02);
+    for (std::uint32_t zone = 1; zone <= kReplayZones; ++zone) {
+      CHECK(replay.sum(zone, 20).ownShare() > 0.88);
+      const auto [most, least] = replay.range(zone, 20);
+      CHECK(most - least < 0.15);
+    }
+  }
+}
+
+TEST_CASE("balancers of a zone stand alike, so that copies of an opening find the same server",
+          "[locality][demand]") {
+  // Mean of 20 seconds, of the two zones whose callers leave them.
+  const auto spread = [](ReplayWay way, const Servers& servers) {
+    LoadReplay replay = start(way, {25, servers}, {0.56, 0.56, 0.56});
+    replay.run(10);
+    double sum = 0;
+    for (int second = 0; second < 20; ++second) {
+      replay.run(1);
+      sum += replay.spread(2) + replay.spread(3);
+    }
+    return sum / 40;
+  };
+  CHECK(spread(kByDemand, kUnequal) < 0.12);
+  CHECK(spread(kByDemand, kUnequal) < 0.6 * spread(kByTimes, kUnequal));
+  CHECK(spread(kByDemand, kEqual) < 0.06);
+}
+
+}  // namespace
+}  // namespace lugfork
