--- /dev/null
+++ b/tests/load/receive_backlog_test.cc
@@ -0,0 +1,107 @@
+#include "load/receive_backlog.h"
+
+#include <catch2/catch.hpp>
+
+namespace lugfork {
+namespace {
+
+struct BacklogHarness {
+  /** Reads a batch each that many milliseconds, for that long. */
+  void read(Duration span, Duration step, std::size_t datagrams, bool is_empty) {
+    for (Duration elapsed{}; elapsed < span; elapsed += step) {
+      now += step;
+      backlog.onTurn({datagrams, is_empty}, now);
+    }
+  }
+
+  MonotonicTime now{seconds(1000)};
+  ReceiveBacklog backlog{ReceiveBacklogSettings(), now};
+};
+
+TEST_CASE("a socket that is found empty again and again is caught up", "[receive_backlog]") {
+  BacklogHarness harness;
+  harness.read(seconds(1), milliseconds(20), 5, true);
+  CHECK_FALSE(harness.backlog.isBehind());
+  CHECK(harness.backlog.standingFor(harness.now) == Duration::zero());
+  SECTION("also with a burst that is over before callers send copies") {
+    harness.read(milliseconds(90), milliseconds(10), 32, false);
+    CHECK_FALSE(harness.backlog.isBehind());
+    harness.read(milliseconds(10), milliseconds(10), 10, true);
+    CHECK_FALSE(harness.backlog.isBehind());
+    CHECK_FALSE(harness.backlog.evidenceIsStale(harness.now));
+  }
+  SECTION("also after a silence") {
+    harness.now += seconds(60);
+    harness.read(milliseconds(10), milliseconds(10), 1, false);
+    CHECK_FALSE(harness.backlog.isBehind());
+    CHECK(harness.backlog.stops() == 0);
+  }
+}
+
+TEST_CASE("a socket that is not empty for 100 ms is behind until it is", "[receive_backlog]") {
+  BacklogHarness harness;
+  harness.read(milliseconds(110), milliseconds(10), 32, false);
+  CHECK(harness.backlog.isBehind());
+  CHECK(harness.backlog.timesBehind() == 1);
+  CHECK(harness.backlog.standingFor(harness.now) == milliseconds(100));
+  CHECK(harness.backlog.delay(harness.now) == milliseconds(100));
+  harness.read(seconds(2), milliseconds(10), 32, false);
+  CHECK(harness.backlog.delay(harness.now) == milliseconds(250));
+  CHECK(harness.backlog.evidenceIsStale(harness.now));
+  harness.read(milliseconds(10), milliseconds(10), 3, true);
+  CHECK_FALSE(harness.backlog.isBehind());
+  // What callers repeat now was sent while this node was behind.
+  CHECK(harness.backlog.evidenceIsStale(harness.now + milliseconds(199)));
+  CHECK_FALSE(harness.backlog.evidenceIsStale(harness.now + milliseconds(200)));
+}
+
+TEST_CASE("a datagram came after the socket was last empty", "[receive_backlog]") {
+  BacklogHarness harness;
+  harness.read(milliseconds(10), milliseconds(10), 1, true);
+  const MonotonicTime empty_at = harness.now;
+  CHECK(harness.backlog.waitingSince(harness.now) == empty_at);
+  harness.read(milliseconds(50), milliseconds(10), 32, false);
+  CHECK(harness.backlog.emptyAt() == empty_at);
+  CHECK(harness.backlog.waitingSince(harness.now) == empty_at + milliseconds(10));
+  harness.read(milliseconds(10), milliseconds(10), 1, true);
+  CHECK(harness.backlog.emptyAt() == empty_at + milliseconds(60));
+}
+
+TEST_CASE("after packets that waited for a first view evidence is stale for a while",
+          "[receive_backlog]") {
+  BacklogHarness harness;
+  CHECK_FALSE(harness.backlog.evidenceIsStale(harness.now));
+  harness.backlog.onDelayed(harness.now);
+  CHECK(harness.backlog.evidenceIsStale(harness.now + milliseconds(199)));
+  CHECK_FALSE(harness.backlog.evidenceIsStale(harness.now + milliseconds(200)));
+}
+
+TEST_CASE("the socket holds what is handled in 250 ms", "[receive_backlog]") {
+  BacklogHarness harness;
+  SECTION("a weak node") {
+    harness.read(seconds(1), milliseconds(10), 14, false);
+    CHECK(harness.backlog.socketDatagrams() == 350);
+  }
+  SECTION("a node with a whole core is bounded") {
+    harness.read(seconds(1), milliseconds(1), 100, false);
+    CHECK(harness.backlog.socketDatagrams() == 8192);
+  }
+  SECTION("a node that hardly runs keeps room for a burst") {
+    harness.read(seconds(1), milliseconds(50), 2, false);
+    CHECK(harness.backlog.socketDatagrams() == 256);
+  }
+}
+
+TEST_CASE("a process that stood still is recognised, and its rate is not learned",
+          "[receive_backlog]") {
+  BacklogHarness harness;
+  harness.read(milliseconds(40), milliseconds(10), 32, false);
+  harness.now += seconds(2);
+  harness.read(milliseconds(10), milliseconds(10), 32, false);
+  CHECK(harness.backlog.stops() == 1);
+  CHECK(harness.backlog.isBehind());
+  CHECK(harness.backlog.socketDatagrams() == 1024);
+}
+
+}  // namespace
+}  // namespace lugfork
