--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -1,5 +1,7 @@
 #include "balancer/packet_node.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace lugfork {
@@ -18,6 +20,8 @@
 /** Causes told apart of records that can't be used: all that one version of the program has. */
 constexpr std::size_t kMostCauses = 64;
 constexpr Duration kComparisonInterval = milliseconds(500);
+/** Time between two moves of the limits on new flows: a small part of callers' targets. */
+constexpr Duration kLoadInterval = milliseconds(100);
 
 PlacementSettings placementSettingsOf(const PacketNodeSettings& settings) {
   PlacementSettings placement = settings.placement;
@@ -54,6 +58,8 @@
       reporter_(EvidenceReporterSettings(), settings_.zone, silence_, evidence_, time_source),
       response_times_(settings_.response_times, time_source),
       locality_(localitySettingsOf(settings_), time_source, log),
+      load_control_(settings_.load_control, time_source, log),
+      zone_demand_(settings_.zone_demand, time_source),
       tokens_(settings_.token_key),
       router_(decider_, silence_, observer_, tokens_, sender, *this, log),
       follower_(layout.prefix, settings_.follower, source, scheduler, time_source, random, *this) {
@@ -75,6 +81,10 @@
   if (settings_.uses.count_in_flight) {
     placement_.setRequestsInFlight(&observer_.requestsInFlight());
   }
+  if (settings_.uses.overflow_by_demand) {
+    placement_.setZoneDemand([this](ServiceId service) { return zone_demand_.demand(service); });
+  }
+  decider_.setAdmission(&load_control_);
 }
 
 void PacketNode::start() {
@@ -82,6 +92,7 @@
   follower_.start();
   scheduleCleanup();
   scheduleComparison();
+  scheduleLoadUpdate();
 }
 
 bool PacketNode::isComplete() const {
@@ -120,10 +131,17 @@
   }
 }
 
+void PacketNode::onRequest(BackendId backend) {
+  if (const Backend* known = decider_.configuration()->backend(backend)) {
+    load_control_.onRequest(known->service);
+  }
+}
+
 void PacketNode::onResponse(BackendId backend, Duration duration) {
   response_times_.onResponse(backend, duration);
   if (const Backend* known = decider_.configuration()->backend(backend)) {
     placement_.onResponse(*known, duration);
+    load_control_.onResponse(known->service, duration);
   }
   if (on_response_) {
     on_response_(duration);
@@ -310,6 +328,7 @@
   response_times_.retain(configuration);
   observer_.retain(configuration);
   locality_.retain(configuration);
+  zone_demand_.retain(configuration);
 }
 
 void PacketNode::scheduleComparison() {
@@ -321,6 +340,29 @@
   });
 }
 
+void PacketNode::scheduleLoadUpdate() {
+  scheduler_.callAfter(kLoadInterval, [this] {
+    if (decider_.configuration() != nullptr) {
+      updateLoad();
+    }
+    scheduleLoadUpdate();
+  });
+}
+
+void PacketNode::updateLoad() {
+  const ConfigurationView& configuration = *decider_.configuration();
+  const double fleet_size = fleet_size_ ? std::max(1.0, fleet_size_()) : 1;
+  const auto balancers = static_cast<std::size_t>(std::lround(fleet_size));
+  load_control_.tick(configuration, balancers);
+  if (!settings_.uses.overflow_by_demand) {
+    return;
+  }
+  const ZoneBalancers spread{0, balancers, configuration.document().zones.size()};
+  for (const Service& service : configuration.document().services) {
+    zone_demand_.update(service.id, load_control_.load(service.id), spread);
+  }
+}
+
 void PacketNode::scheduleCleanup() {
   scheduler_.callAfter(kCleanupInterval, [this] {
     if (registry_.forgetRetired()) {
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -10,6 +10,8 @@
 #include "discovery/view_follower.h"
 #include "flow/evidence_reporter.h"
 #include "flow/packet_router.h"
+#include "load/load_control.h"
+#include "load/zone_demand.h"
 
 namespace lugfork {
 
@@ -25,6 +27,8 @@
   bool count_in_flight = true;
   /** What other balancers of the zone have seen of silent servers counts too. */
   bool share_evidence = false;
+  /** New flows leave the own zone by what its callers ask, before answers come late. */
+  bool overflow_by_demand = false;
 };
 
 /** Who this balancer is and how it behaves. */
@@ -47,6 +51,8 @@
   /** Its weights are taken from the placement's. */
   LocalitySettings locality;
   LoadEstimateSettings load;
+  LoadControlSettings load_control;
+  ZoneDemandSettings zone_demand;
   ColdServerLimitSettings cold_servers;
   ViewFollowerSettings follower;
 };
@@ -105,6 +111,10 @@
     cold_limit_.setIsOwner(std::move(is_owner));
   }
 
+  /** Sets what tells the number of balancers, this one included; without it, this is the only one.
+   */
+  void setFleetSize(std::function<double()> fleet_size) { fleet_size_ = std::move(fleet_size); }
+
   /** Sets what is called with the duration of each handshake that ends here. */
   void setHandshakeCallback(std::function<void(Duration)> callback) {
     on_handshake_ = std::move(callback);
@@ -137,6 +147,7 @@
   const PacketCounters& packetCounters() const { return router_.counters(); }
   const PacketNodeCounters& counters() const { return counters_; }
   const LocalityRouter& locality() const { return locality_; }
+  const LoadControl& loadControl() const { return load_control_; }
   /** @return routes and back ends in force, or nullptr before the first. */
   const ConfigurationView* configuration() const { return decider_.configuration(); }
   const ViewFollower& follower() const { return follower_; }
@@ -158,6 +169,7 @@
                                              std::uint16_t repetitions) const override;
   ViewStamp viewStamp() const override;
   void onHandshake(Duration duration) override;
+  void onRequest(BackendId backend) override;
   void onResponse(BackendId backend, Duration duration) override;
 
   // ViewFollowerHost
@@ -187,6 +199,9 @@
   void forgetEarlierRuns(const std::vector<BackendId>& restarted);
   void scheduleCleanup();
   void scheduleComparison();
+  void scheduleLoadUpdate();
+  /** Moves the limits of admission, and the estimates of what the own zone asks. */
+  void updateLoad();
 
   const PacketNodeSettings settings_;
   const RecordDecoder& decoder_;
@@ -204,10 +219,13 @@
   EvidenceReporter reporter_;
   ResponseTimes response_times_;
   LocalityRouter locality_;
+  LoadControl load_control_;
+  ZoneDemand zone_demand_;
   const CompactTokenCodec tokens_;
   PacketRouter router_;
   ViewFollower follower_;
   std::function<bool()> reads_platform_;
+  std::function<double()> fleet_size_;
   std::function<void()> on_complete_;
   std::function<void()> on_caught_up_;
   std::function<void(Duration)> on_handshake_;
--- a/src/flow/flow_observer.cc
+++ b/src/flow/flow_observer.cc
@@ -60,12 +60,14 @@
     slot.acknowledged = packet.acknowledged;
     slot.open = true;
     slot.progress_at = time_source_.monotonicTime();
+    FlowObservation first_seen;
     if (packet.payload_bytes > 0) {
       in_flight_.begin(backend, flow, settings_.request_lifetime);
+      first_seen.begins_request = true;
     }
-    return {};
+    return first_seen;
   }
-  const Duration response = noteAnswer(slot, packet);
+  const RequestNote request = noteRequest(slot, packet);
   const bool repeats = packet.payload_bytes > 0 && !isAfter(end, slot.next_sequence);
   if (isAfter(end, slot.next_sequence)) {
     slot.next_sequence = end;
@@ -73,29 +75,35 @@
   const bool window_moved = isAfter(end, slot.progress_sequence + settings_.window_bytes);
   if (!slot.open || window_moved || isAfter(packet.acknowledged, slot.acknowledged)) {
     FlowObservation observation = noteProgress(slot, packet);
-    observation.response = response;
+    observation.response = request.response;
+    observation.begins_request = request.begins;
     return observation;
   }
+  FlowObservation observation;
+  observation.begins_request = request.begins;
   if (repeats && noteRepetition(slot)) {
-    return {FlowEvidence::Silence, Duration::zero(), slot.repetitions, Duration::zero()};
+    observation.evidence = FlowEvidence::Silence;
+    observation.repetitions = slot.repetitions;
   }
-  return {};
+  return observation;
 }
 
-Duration FlowObserver::noteAnswer(ObservedFlow& flow, const FlowPacket& packet) {
+FlowObserver::RequestNote FlowObserver::noteRequest(ObservedFlow& flow, const FlowPacket& packet) {
   const MonotonicTime now = time_source_.monotonicTime();
   const bool is_answered = flow.open && flow.request_at != MonotonicTime() &&
                            isAfter(packet.acknowledged, flow.acknowledged);
-  const Duration response = is_answered ? now - flow.request_at : Duration::zero();
+  RequestNote note;
+  note.response = is_answered ? now - flow.request_at : Duration::zero();
   if (is_answered) {
     flow.request_at = MonotonicTime();
     in_flight_.end(flow.backend, flow.flow);
   }
   if (packet.payload_bytes > 0 && flow.request_at == MonotonicTime()) {
     flow.request_at = now;
+    note.begins = true;
     in_flight_.begin(flow.backend, flow.flow, settings_.request_lifetime);
   }
-  return response;
+  return note;
 }
 
 FlowObservation FlowObserver::noteProgress(ObservedFlow& flow, const FlowPacket& packet) {
@@ -109,8 +117,11 @@
   flow.acknowledged = packet.acknowledged;
   flow.progress_sequence = flow.next_sequence;
   flow.progress_at = now;
-  return {FlowEvidence::Progress, handshake, std::exchange(flow.repetitions, std::uint16_t{0}),
-          Duration::zero()};
+  FlowObservation observation;
+  observation.evidence = FlowEvidence::Progress;
+  observation.handshake = handshake;
+  observation.repetitions = std::exchange(flow.repetitions, std::uint16_t{0});
+  return observation;
 }
 
 bool FlowObserver::noteRepetition(ObservedFlow& flow) const {
--- a/src/flow/flow_observer.h
+++ b/src/flow/flow_observer.h
@@ -27,6 +27,8 @@
   std::uint16_t repetitions = 0;
   /** Time from the first data of a request, where this packet shows its answer; else zero. */
   Duration response{};
+  /** The packet is the first of a request that passes here. */
+  bool begins_request = false;
 };
 
 /** What is known of how callers send. */
@@ -96,8 +98,15 @@
   ObservedFlow& slotOf(const FlowId& flow);
   const ObservedFlow& slotOf(const FlowId& flow) const;
 
-  /** Notes data and answers. @return the time of the answer that the packet shows, or zero. */
-  Duration noteAnswer(ObservedFlow& flow, const FlowPacket& packet);
+  /** What a packet shows of the request that its flow waits for. */
+  struct RequestNote {
+    /** Time of the answer that the packet shows, or zero. */
+    Duration response{};
+    bool begins = false;
+  };
+
+  /** Notes data and answers. */
+  RequestNote noteRequest(ObservedFlow& flow, const FlowPacket& packet);
 
   FlowObservation noteProgress(ObservedFlow& flow, const FlowPacket& packet);
 
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -127,6 +127,9 @@
   if (observation.handshake > Duration::zero()) {
     host_.onHandshake(observation.handshake);
   }
+  if (observation.begins_request) {
+    host_.onRequest(backend);
+  }
   if (observation.response > Duration::zero()) {
     host_.onResponse(backend, observation.response);
   }
--- a/src/flow/packet_router.h
+++ b/src/flow/packet_router.h
@@ -62,6 +62,9 @@
   /** A flow's handshake has ended, that long after its opening. */
   virtual void onHandshake(Duration duration) = 0;
 
+  /** A request's first data goes to a back end. */
+  virtual void onRequest(BackendId backend) = 0;
+
   /** A back end has begun to answer a request, that long after the request's first packet. */
   virtual void onResponse(BackendId backend, Duration duration) = 0;
 };
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -127,6 +127,7 @@
   node_.setIsOwner([this](std::uint64_t server_id) {
     return directory_.isOwner(server_id, kOwnersOfColdServer);
   });
+  node_.setFleetSize([this] { return directory_.fleetSize(); });
   node_.setReadsPlatform([this] { return source_.upstream() == Upstream::Store; });
   node_.setCaughtUpCallback([this] { provider_->onViewReady(); });
 }
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -101,6 +101,39 @@
              counters.bytes);
 }
 
+/** What is let in, by service and priority, and what that goes by. */
+void addLoad(MetricPage& page, const PacketNode& node) {
+  if (node.configuration() == nullptr) {
+    return;
+  }
+  const LoadControl& control = node.loadControl();
+  for (const Service& service : node.configuration()->document().services) {
+    const LoadControl::CountersByPriority counters = control.counters(service.id);
+    for (std::size_t priority = 0; priority < counters.size(); ++priority) {
+      if (counters[priority].offered == 0) {
+        continue;
+      }
+      const char* help = "First copies of openings, by what admission decided.";
+      const std::string rank = std::to_string(priority);
+      page.addCounter("lugfork_admission_total", help, counters[priority].admitted,
+                      {{"priority", rank}, {"service", service.name}, {"verdict", "admitted"}});
+      page.addCounter("lugfork_admission_total", help, counters[priority].rejected,
+                      {{"priority", rank}, {"service", service.name}, {"verdict", "rejected"}});
+    }
+    const ServiceLoad load = control.load(service.id);
+    page.addGauge("lugfork_admission_level",
+                  "Classes of requests that are rejected; a fraction is a part of a class.",
+                  control.level(service.id), {{"service", service.name}});
+    page.addGauge("lugfork_requests_per_busy_slot",
+                  "Requests present for each that is worked on, by response times; 0 for unknown.",
+                  load.requestsPerBusySlot(), {{"service", service.name}});
+    page.addGauge("lugfork_service_time_seconds",
+                  "Time of an answer where nothing waits; 0 for unknown.",
+                  std::chrono::duration<double>(load.service_time).count(),
+                  {{"service", service.name}});
+  }
+}
+
 /** What leaves the zone, by service. */
 void addLocality(MetricPage& page, const PacketNode& node) {
   if (node.configuration() == nullptr) {
@@ -207,6 +240,7 @@
     addProvider(page, figures.provider->counters());
   }
   addLocality(page, node);
+  addLoad(page, node);
   if (figures.peer_socket != nullptr && figures.view_client != nullptr) {
     addPeerSocket(page, *figures.peer_socket, *figures.view_client);
   }
--- a/tests/flow/packet_router_test.cc
+++ b/tests/flow/packet_router_test.cc
@@ -37,6 +37,7 @@
   bool resetsDeadFlows() const override { return true; }
   ViewStamp viewStamp() const override { return {12, milliseconds(30)}; }
   void onHandshake(Duration duration) override { handshakes.push_back(duration); }
+  void onRequest(BackendId) override { ++requests; }
   void onResponse(BackendId, Duration duration) override { responses.push_back(duration); }
   std::optional<DeathEvidence> deathByOthers(BackendId backend,
                                              std::uint16_t repetitions) const override {
@@ -92,6 +93,7 @@
   std::vector<FlowPacket> resets;
   std::vector<Duration> handshakes;
   std::vector<Duration> responses;
+  int requests = 0;
 };
 
 TEST_CASE("any node forwards a later packet by its token", "[packet_router]") {
