--- a/src/load/load_control.h
+++ b/src/load/load_control.h
@@ -36,7 +36,7 @@
 
 /** Tunables of a LoadControl. */
 struct LoadControlSettings {
-  /** "off", "response_time" or "share": how pressure is found; "off" still counts. */
+  /** "off", "in_flight", "response_time" or "share": how pressure is found; "off" still counts. */
   std::string mode = "off";
   ServiceLoadSettings estimates = {};
   PressureSettings pressure = {};
--- a/src/load/policy/pressure_policy.cc
+++ b/src/load/policy/pressure_policy.cc
@@ -1,12 +1,28 @@
 #include "load/policy/pressure_policy.h"
 
+#include <algorithm>
+
+#include "load/policy/in_flight_policy.h"
 #include "load/policy/response_time_policy.h"
 #include "load/policy/share_policy.h"
 
 namespace lugfork {
 
+double requestsPerSlotLimit(const PressureSettings& settings, const PressureInput& input) {
+  const bool is_told = input.smallest_target.count() > 0 && input.load.service_time.count() > 0;
+  if (!is_told) {
+    return settings.requests_per_slot;
+  }
+  const std::chrono::duration<double> target = input.smallest_target;
+  const double waits = settings.wait_part * (target / input.load.service_time);
+  return std::clamp(1 + waits, settings.least_requests_per_slot, settings.requests_per_slot);
+}
+
 std::unique_ptr<PressurePolicy> makePressurePolicy(std::string_view name,
                                                    const PressureSettings& settings) {
+  if (name == "in_flight") {
+    return std::make_unique<InFlightPolicy>(settings);
+  }
   if (name == "response_time") {
     return std::make_unique<ResponseTimePolicy>(settings);
   }
--- a/src/load/policy/pressure_policy.h
+++ b/src/load/policy/pressure_policy.h
@@ -37,6 +37,9 @@
   double requests_needed = 30;
 };
 
+/** @return requests for each slot up to which callers are served in time. */
+double requestsPerSlotLimit(const PressureSettings& settings, const PressureInput& input);
+
 /** Finds how far the load of a service is from its limit. */
 class PressurePolicy {
  public:
@@ -46,7 +49,8 @@
   virtual double pressure(const PressureInput& input) const = 0;
 };
 
-/** @return the policy with that name ("response_time", "share"), or nullptr for another name. */
+/** @return the policy with that name ("in_flight", "response_time", "share"), or nullptr for
+ * another name. */
 std::unique_ptr<PressurePolicy> makePressurePolicy(std::string_view name,
                                                    const PressureSettings& settings);
 
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -127,10 +127,9 @@
     page.addGauge("lugfork_requests_per_busy_slot",
                   "Requests present for each that is worked on, by response times; 0 for unknown.",
                   load.requestsPerBusySlot(), {{"service", service.name}});
-    page.addGauge("lugfork_service_time_seconds",
-                  "Time of an answer where nothing waits; 0 for unknown.",
-                  std::chrono::duration<double>(load.service_time).count(),
-                  {{"service", service.name}});
+    page.addGauge(
+        "lugfork_service_time_seconds", "Time of an answer where nothing waits; 0 for unknown.",
+        std::chrono::duration<double>(load.service_time).count(), {{"service", service.name}});
   }
 }
 
