--- a/src/load/admission_controller.h
+++ b/src/load/admission_controller.h
@@ -16,7 +16,7 @@
    */
   double gain = 0.1;
   /** The same for pressure beyond half too much: servers' queues are full then. */
-  double gain_when_full = 0.6;
+  double gain_when_full = 1;
   /** Change at once for each unit of excess pressure, which damps the slow one. */
   double damping = 0.15;
   /** Pressure that counts at most: twice too much calls for the largest step. */
@@ -33,7 +33,7 @@
    * Most of it that is admitted from the moment at which the pressure is too high: callers are
    * seldom spread over balancers more unevenly, and full queues would hide a larger excess.
    */
-  double largest_share = 2;
+  double largest_share = 1.5;
 };
 
 /** Priorities that are told apart; callers of less urgent ones are treated like the last. */
