Zone demand counts its requests itself, and knows weak balancers' zones too

Cause: a rate that is sampled as a request comes, weighted by itself, told weak balancers one request a second too many: with 300 balancers a zone (1.5 requests a second each) and equal zones at 56% the own zone kept 63% of its flows where nothing had to leave.

Change: ZoneDemand::onRequest() and update(service, service time, balancers) in place of ServiceLoad's rate; requests over time, exact on the mean; a rise counts from 3.5 standard errors, a fall from 2.5.

--- a/src/flow/locality_router.cc
+++ b/src/flow/locality_router.cc
@@ -315,6 +315,7 @@
        {"cause", std::string(toString(state.cause))},
        {"own_slots_usable", static_cast<std::uint64_t>(std::lround(capacity.own_usable))},
        {"all_slots_usable", static_cast<std::uint64_t>(std::lround(capacity.all_usable))},
+       {"own_demand_slots", static_cast<std::uint64_t>(std::lround(capacity.demand.busy_slots))},
        {"own_ms", static_cast<std::uint64_t>(std::lround(state.own.typicalMs()))},
        {"others_ms", static_cast<std::uint64_t>(std::lround(state.others.typicalMs()))}});
 }
--- a/src/load/zone_demand.cc
+++ b/src/load/zone_demand.cc
@@ -22,53 +22,80 @@
   return std::max(1.0, static_cast<double>(all) / static_cast<double>(spread_over));
 }
 
-DemandEstimate ZoneDemand::update(ServiceId service, const ServiceLoad& load,
-                                  const ZoneBalancers& balancers) {
-  const MonotonicTime now = time_source_.monotonicTime();
+void ZoneDemand::Count::fade(double elapsed_s, Duration lifetime) {
+  const double kept = std::exp(-elapsed_s / inSeconds(lifetime));
+  requests *= kept;
+  seconds = seconds * kept + (1 - kept) * inSeconds(lifetime);
+}
+
+void ZoneDemand::Count::weighAs(double count) {
+  if (requests > 0) {
+    seconds *= count / requests;
+    requests = count;
+  }
+}
+
+void ZoneDemand::onRequest(ServiceId service) {
   const auto [found, is_new] = states_.try_emplace(service);
-  State& state = found->second;
   if (is_new) {
-    state.first_at = now;
-    state.updated_at = now;
+    // The first request begins the time in which others are counted.
+    found->second.updated_at = time_source_.monotonicTime();
+    return;
   }
-  follow(state, std::max(load.requests_per_second, 0.0), now);
-  const bool known = state.requests >= settings_.requests_needed && load.service_time > Duration();
-  // Its level rises at once and falls slowly, so that chance would count one way without this.
-  const double told = 1 - 0.5 / std::sqrt(std::max(state.requests, 1.0));
-  const double slots = state.rate * inSeconds(load.service_time) * balancers.inOwnZone();
-  state.told = {known ? told * slots : 0, load.service_time};
-  return state.told;
+  ++found->second.fresh;
 }
 
-void ZoneDemand::follow(State& state, double rate, MonotonicTime now) const {
-  const double smoothing_s = inSeconds(settings_.rate_smoothing);
-  // A rate says nothing of the time long before it was smoothed.
-  const double elapsed_s = std::min(inSeconds(now - state.updated_at), smoothing_s);
+DemandEstimate ZoneDemand::update(ServiceId service, Duration service_time,
+                                  const ZoneBalancers& balancers) {
+  const auto found = states_.find(service);
+  if (found == states_.end()) {
+    return {};
+  }
+  State& state = found->second;
+  const MonotonicTime now = time_source_.monotonicTime();
+  follow(state, inSeconds(now - state.updated_at));
   state.updated_at = now;
-  // A rate that is smoothed over a time rests on the requests of twice that time.
-  const double window_s = std::min(inSeconds(now - state.first_at), 2 * smoothing_s);
-  if (window_s <= 0) {
+  const bool known =
+      state.smoothed.requests >= settings_.requests_needed && service_time > Duration();
+  const double slots = state.smoothed.rate() * inSeconds(service_time) * balancers.inOwnZone();
+  state.told = {known ? slots : 0, service_time};
+  return state.told;
+}
+
+void ZoneDemand::follow(State& state, double elapsed_s) const {
+  if (elapsed_s <= 0) {
+    return;
+  }
+  const Count fresh{state.fresh, elapsed_s};
+  state.fresh = 0;
+  state.recent.fade(elapsed_s, settings_.recent);
+  state.recent.requests += fresh.requests;
+  state.smoothed.fade(elapsed_s, settings_.longest_smoothing);
+  state.smoothed.requests += fresh.requests;
+  takeChange(state, fresh);
+  if (state.smoothed.requests > settings_.requests_smoothed) {
+    state.smoothed.weighAs(settings_.requests_smoothed);
+  }
+}
+
+void ZoneDemand::takeChange(State& state, const Count& fresh) const {
+  const double expected = state.smoothed.rate() * state.recent.seconds;
+  // A fading count spreads as one of half of its requests does.
+  const double error = std::sqrt(std::max(expected, state.recent.requests) / 2);
+  const double errors = (state.recent.requests - expected) / error;
+  if (error <= 0 || (errors <= settings_.rise_errors && errors >= -settings_.fall_errors)) {
     return;
   }
-  const double error = std::sqrt(std::max(state.rate, rate) / window_s);
-  if (state.requests > 0 && std::abs(rate - state.rate) > settings_.change_errors * error) {
-    // What was known stays so, but weighs little against what comes next.
-    const double least = std::min(state.requests, settings_.requests_needed);
-    state.requests = std::clamp(rate * window_s, least, state.requests);
-    state.rate = rate;
-    if (elapsed_s > 0 && elapsed_s < smoothing_s) {
-      // The smoothed rate lags behind a change: what came since the last update leads.
-      const double old_part = std::exp(-elapsed_s / smoothing_s);
-      state.rate = std::max(rate, (rate - state.seen_rate * old_part) / (1 - old_part));
-    }
+  const double weight = std::min(state.smoothed.requests, settings_.requests_needed);
+  state.smoothed = state.recent;
+  if (fresh.rate() > state.recent.rate()) {
+    // In a rise the recent rate lags: what came since the last update counts twice.
+    state.smoothed.requests += fresh.requests;
+    state.smoothed.seconds += fresh.seconds;
   }
-  state.seen_rate = rate;
-  // What the estimate rests on fades, so that a service whose callers have left is not known.
-  const double kept = std::exp(-elapsed_s / inSeconds(settings_.longest_smoothing));
-  const double seen = rate * elapsed_s;
-  state.requests = std::min(state.requests * kept + seen, settings_.requests_smoothed);
-  if (state.requests > 0) {
-    state.rate += (rate - state.rate) * std::min(1.0, seen / state.requests);
+  // What was known stays so, but weighs little against what comes next.
+  if (state.smoothed.requests < weight) {
+    state.smoothed.weighAs(weight);
   }
 }
 
--- a/src/load/zone_demand.h
+++ b/src/load/zone_demand.h
@@ -6,14 +6,14 @@
 #include "common/ids.h"
 #include "common/time_source.h"
 #include "config/configuration.h"
-#include "load/service_load.h"
 
 namespace lugfork {
 
 /** Tunables of a ZoneDemand. */
 struct ZoneDemandSettings {
-  /** Time over which the rates that it is given are smoothed (ServiceLoadSettings::smoothing). */
-  Duration rate_smoothing = milliseconds(500);
+  /** Time over which the last requests are watched for a change: callers' targets have not passed
+   * after it, and a weak balancer sees half a dozen requests. */
+  Duration recent = milliseconds(500);
   /** Requests after which a demand is told: it may err by half then, yet callers of a zone with
    * half of the slots that they need must not wait until more is known. */
   double requests_needed = 5;
@@ -22,10 +22,13 @@
   double requests_smoothed = 400;
   /** Longest time over which it is smoothed: callers of a quiet service come and go meanwhile. */
   Duration longest_smoothing = seconds(10);
-  /** Standard errors of a rate from which it shows a change of callers rather than chance: one
-   * comparison in 400 errs, and three times the callers show in half a second to a dozen requests a
+  /** Standard errors from which the recent requests show more callers rather than chance: one of
+   * 4,000 moments errs, for each sends callers beyond for seconds; three times the callers show in
+   * half a second to a dozen requests a second. */
+  double rise_errors = 3.5;
+  /** The same for fewer callers: an error brings callers back by a step or two, and only for a
    * second. */
-  double change_errors = 3;
+  double fall_errors = 2.5;
 };
 
 /** What the callers of the own zone ask of a service. */
@@ -52,20 +55,23 @@
  * Estimates how many slots of a service the callers of the own zone keep busy, wherever they are
  * served: the requests that came to this balancer, times the balancers of the zone, times the
  * service time. Requests count, not flows, since open flows go on bringing them. Chance is smoothed
- * over a number of requests; what is more than chance counts at once. What is
- * told is the estimate less half its standard error; below a few requests it is not known.
+ * over a number of requests; what is more than chance counts at once. Below a
+ * few requests the demand is not known, rather than guessed.
  */
 class ZoneDemand {
  public:
   ZoneDemand(ZoneDemandSettings settings, const TimeSource& time_source)
       : settings_(settings), time_source_(time_source) {}
 
+  /** A request's first data went to a server of the service. */
+  void onRequest(ServiceId service);
+
   /**
-   * Takes what this balancer has seen of a service; to be called a few times a second.
-   * @param load its rate must not be biased where the first request came only just now.
-   * @return the demand; not known where too few requests were seen or the service time isn't known.
+   * Counts what came since the last update; to be called a few times a second.
+   * @param service_time time of an answer where nothing waits; zero where that is not known.
+   * @return the demand; unknown where few requests were seen or the service time is not known.
    */
-  DemandEstimate update(ServiceId service, const ServiceLoad& load, const ZoneBalancers& balancers);
+  DemandEstimate update(ServiceId service, Duration service_time, const ZoneBalancers& balancers);
 
   /** @return the demand as of the last update. */
   DemandEstimate demand(ServiceId service) const;
@@ -74,20 +80,28 @@
   void retain(const ConfigurationView& configuration);
 
  private:
-  struct State {
-    /** Smoothed requests of this balancer a second. */
-    double rate = 0;
-    /** The rate that was given last. */
-    double seen_rate = 0;
-    /** Requests that the estimate rests on, bounded by requests_smoothed. */
+  /** Requests within a time, of which the old ones fade. */
+  struct Count {
     double requests = 0;
-    MonotonicTime first_at;
+    double seconds = 0;
+    double rate() const { return seconds > 0 ? requests / seconds : 0; }
+    void fade(double elapsed_s, Duration lifetime);
+    /** Keeps the rate, and lets it weigh as so many requests. */
+    void weighAs(double count);
+  };
+
+  struct State {
+    Count smoothed;
+    Count recent;
+    /** Requests since the last update. */
+    double fresh = 0;
     MonotonicTime updated_at;
     DemandEstimate told;
   };
 
-  /** Takes a rate that was seen until now. */
-  void follow(State& state, double rate, MonotonicTime now) const;
+  void follow(State& state, double elapsed_s) const;
+  /** Takes the recent rate where it differs from the smoothed one by more than chance. */
+  void takeChange(State& state, const Count& fresh) const;
 
   const ZoneDemandSettings settings_;
   const TimeSource& time_source_;
--- a/tests/flow/overflow_by_demand_test.cc
+++ b/tests/flow/overflow_by_demand_test.cc
@@ -4,7 +4,7 @@
 
 /**
  * Overflow by the demand of the own zone. A zone's even part is 20 slots of 60; a balancer of 25 in
- * a zone sees 13 to 50 requests a second, one of eight sees 40 to 150.
+ * a zone sees 13 to 50 requests a second, one of eight 40 to 150, one of 300 one or two.
  */
 namespace lugfork {
 namespace {
@@ -78,6 +78,10 @@
       CHECK(worstZone(replay, 1) < 0.03);
       replay.run(28);
       CHECK(worstZone(replay, 28) < 0.01);
+      // Counted by cause: the smallest zone's callers leave it.
+      const LocalityCounters counters = replay.locality(2, 0).counters(ServiceId(1));
+      const auto by_demand = counters.beyond[static_cast<std::size_t>(OverflowCause::Demand)];
+      CHECK((by_demand > 0) == (row.loads[1] > 0.4));
     }
   }
 }
@@ -99,6 +103,18 @@
   }
 }
 
+TEST_CASE("balancers that see a request or two a second know unequal zones after some seconds",
+          "[locality][demand]") {
+  const auto late = [](ReplayWay way) {
+    LoadReplay replay = start(way, {300, kUnequal}, {0.56, 0.56, 0.56});
+    replay.run(20);
+    return lateOfAll(replay, 10);
+  };
+  CHECK(late(kByDemand) < 0.03);
+  // They see too few answers to compare response times.
+  CHECK(late(kByTimes) > 0.1);
+}
+
 TEST_CASE("flows stay in a zone that has room by demand, however few its slots",
           "[locality][demand]") {
   const auto ownShare = [](ReplayWay way) {
