--- a/tests/flow/overflow_by_demand_test.cc
+++ b/tests/flow/overflow_by_demand_test.cc
@@ -117,15 +117,15 @@
 
 TEST_CASE("flows stay in a zone that has room by demand, however few its slots",
           "[locality][demand]") {
-  const auto ownShare = [](ReplayWay way) {
+  const auto own_share = [](ReplayWay way) {
     LoadReplay replay = start(way, {25, kUnequal}, {0.5, 0.3, 0.1});
     replay.run(20);
     CHECK(worstZone(replay, 20) < 0.01);
     return replay.sum(3, 10).ownShare();
   };
   // What the largest weight gives to a tenth of the slots.
-  CHECK(ownShare(kByDemand) > 0.8);
-  CHECK(ownShare(kByTimes) < ownShare(kByDemand) - 0.1);
+  CHECK(own_share(kByDemand) > 0.8);
+  CHECK(own_share(kByTimes) < own_share(kByDemand) - 0.1);
 }
 
 TEST_CASE("a burst of three times in one zone goes beyond within its first second",
