--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -134,14 +134,15 @@
 void PacketNode::onRequest(BackendId backend) {
   if (const Backend* known = decider_.configuration()->backend(backend)) {
     load_control_.onRequest(known->service);
+    zone_demand_.onRequest(known->service);
   }
 }
 
-void PacketNode::onResponse(BackendId backend, Duration duration) {
+void PacketNode::onResponse(BackendId backend, Duration duration, bool is_prompt) {
   response_times_.onResponse(backend, duration);
   if (const Backend* known = decider_.configuration()->backend(backend)) {
     placement_.onResponse(*known, duration);
-    load_control_.onResponse(known->service, duration);
+    load_control_.onResponse(known->service, duration, is_prompt);
   }
   if (on_response_) {
     on_response_(duration);
@@ -359,7 +360,7 @@
   }
   const ZoneBalancers spread{0, balancers, configuration.document().zones.size()};
   for (const Service& service : configuration.document().services) {
-    zone_demand_.update(service.id, load_control_.load(service.id), spread);
+    zone_demand_.update(service.id, load_control_.load(service.id).service_time, spread);
   }
 }
 
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -170,7 +170,7 @@
   ViewStamp viewStamp() const override;
   void onHandshake(Duration duration) override;
   void onRequest(BackendId backend) override;
-  void onResponse(BackendId backend, Duration duration) override;
+  void onResponse(BackendId backend, Duration duration, bool is_prompt) override;
 
   // ViewFollowerHost
   void onItems(const std::vector<ItemChange>& changes) override;
--- a/src/flow/flow_observer.cc
+++ b/src/flow/flow_observer.cc
@@ -76,6 +76,7 @@
   if (!slot.open || window_moved || isAfter(packet.acknowledged, slot.acknowledged)) {
     FlowObservation observation = noteProgress(slot, packet);
     observation.response = request.response;
+    observation.response_is_prompt = packet.closes;
     observation.begins_request = request.begins;
     return observation;
   }
--- a/src/flow/flow_observer.h
+++ b/src/flow/flow_observer.h
@@ -27,6 +27,11 @@
   std::uint16_t repetitions = 0;
   /** Time from the first data of a request, where this packet shows its answer; else zero. */
   Duration response{};
+  /**
+   * The packet closes the flow, as callers do as soon as they have the answer. Other
+   * acknowledgements wait for a second packet of the answer, or for some time where there is none.
+   */
+  bool response_is_prompt = false;
   /** The packet is the first of a request that passes here. */
   bool begins_request = false;
 };
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -131,7 +131,7 @@
     host_.onRequest(backend);
   }
   if (observation.response > Duration::zero()) {
-    host_.onResponse(backend, observation.response);
+    host_.onResponse(backend, observation.response, observation.response_is_prompt);
   }
   if (observation.evidence == FlowEvidence::Progress) {
     silence_.onLife(backend, observation.repetitions);
--- a/src/flow/packet_router.h
+++ b/src/flow/packet_router.h
@@ -65,8 +65,11 @@
   /** A request's first data goes to a back end. */
   virtual void onRequest(BackendId backend) = 0;
 
-  /** A back end has begun to answer a request, that long after the request's first packet. */
-  virtual void onResponse(BackendId backend, Duration duration) = 0;
+  /**
+   * A back end has begun to answer a request, that long after the request's first packet.
+   * @param is_prompt whether the caller told it at once.
+   */
+  virtual void onResponse(BackendId backend, Duration duration, bool is_prompt) = 0;
 };
 
 /**
--- a/src/load/load_control.cc
+++ b/src/load/load_control.cc
@@ -35,6 +35,19 @@
   return is_admitted;
 }
 
+void LoadControl::onResponse(ServiceId service, Duration duration, bool is_prompt) {
+  const MonotonicTime now = time_source_.monotonicTime();
+  Record& record = records_[service];
+  if (is_prompt) {
+    record.prompt_at = now;
+  }
+  const bool knows_prompt = record.prompt_at != MonotonicTime() &&
+                            now - record.prompt_at <= settings_.prompt_memory;
+  if (is_prompt || !knows_prompt) {
+    estimator_.onResponse(service, duration);
+  }
+}
+
 void LoadControl::tick(const ConfigurationView& configuration, std::size_t balancers) {
   estimator_.retain(configuration);
   std::erase_if(records_,
--- a/src/load/load_control.h
+++ b/src/load/load_control.h
@@ -41,6 +41,9 @@
   ServiceLoadSettings estimates = {};
   PressureSettings pressure = {};
   AdmissionSettings admission = {};
+  /** Time for which an answer told at once keeps those told later from counting: a weak balancer
+   * gets several in it. */
+  Duration prompt_memory = seconds(5);
   /** Least time between two log lines of a service, so that an overload doesn't fill the log. */
   Duration log_interval = seconds(1);
   /** Change of the level that is worth a line; less is the noise of arrivals. */
@@ -69,10 +72,12 @@
   /** A request's first data went to a server of the service. */
   void onRequest(ServiceId service) { estimator_.onRequest(service); }
 
-  /** A caller has received the beginning of an answer, that long after it began to ask. */
-  void onResponse(ServiceId service, Duration duration) {
-    estimator_.onResponse(service, duration);
-  }
+  /**
+   * A caller has received the beginning of an answer, that long after it began to ask.
+   * @param is_prompt whether the caller told it at once: where some do, only those count, since the
+   * others' delay would look like a queue.
+   */
+  void onResponse(ServiceId service, Duration duration, bool is_prompt = true);
 
   /**
    * Moves the levels; to be called each 100 ms.
@@ -91,6 +96,8 @@
  private:
   struct Record {
     CountersByPriority counters{};
+    /** Last answer that was told at once; unset for none. */
+    MonotonicTime prompt_at;
     double logged_level = 0;
     MonotonicTime logged_at;
     /** Sums as of the last line. */
--- a/tests/flow/packet_router_test.cc
+++ b/tests/flow/packet_router_test.cc
@@ -38,7 +38,10 @@
   ViewStamp viewStamp() const override { return {12, milliseconds(30)}; }
   void onHandshake(Duration duration) override { handshakes.push_back(duration); }
   void onRequest(BackendId) override { ++requests; }
-  void onResponse(BackendId, Duration duration) override { responses.push_back(duration); }
+  void onResponse(BackendId, Duration duration, bool is_prompt) override {
+    responses.push_back(duration);
+    prompt_responses += is_prompt ? 1 : 0;
+  }
   std::optional<DeathEvidence> deathByOthers(BackendId backend,
                                              std::uint16_t repetitions) const override {
     const bool is_dead = backend == dead_by_others && repetitions >= 2;
@@ -94,6 +97,7 @@
   std::vector<Duration> handshakes;
   std::vector<Duration> responses;
   int requests = 0;
+  int prompt_responses = 0;
 };
 
 TEST_CASE("any node forwards a later packet by its token", "[packet_router]") {
