Make no fields of log lines that the log would drop

Cause: each opening, reset and drop builds some ten fields and the flow's name, which the bounded log then drops beyond 100 lines a second.

Change: EventLog::wouldWrite() is asked first; what is not made counts as left out. BoundedEventLog::setLinesPerSecond() for a node that is behind its packets. data_path_bench gets an opening with the end of its handshake, a forward and a reset of packets with compact tokens.

The test was written with the call: it does not compile without it.

--- a/bench/data_path_bench.cc
+++ b/bench/data_path_bench.cc
@@ -1,7 +1,9 @@
 #include <benchmark/benchmark.h>
 #include <malloc.h>
 
+#include "common/bounded_event_log.h"
 #include "flow/flow_router.h"
+#include "flow/packet_router.h"
 #include "wire/datagram_codec.h"
 
 /** Cost of the data path: one forwarding decision, one placement, memory for each open flow. */
@@ -50,7 +52,8 @@
     key.secret.fill(7);
     key.seals = true;
     configuration.keys = {key};
-    router.setConfiguration(std::make_shared<const ConfigurationView>(configuration));
+    view = std::make_shared<const ConfigurationView>(configuration);
+    router.setConfiguration(view);
   }
 
   /** @return encoded Data datagrams of that many flows, each with its own token. */
@@ -66,6 +69,7 @@
     return datagrams;
   }
 
+  ConfigurationViewPtr view;
   RealTimeSource time;
   std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
   CountingSender sender;
@@ -111,6 +115,93 @@
     ->ArgNames({"flows", "backends"})
     ->ArgsProduct({{1000, 100000, 1000000}, {15, 1000, 14000}});
 
+/** A router of packets with compact tokens, whose log drops all but 100 lines a second. */
+struct PacketBench : PacketSender, PacketRouterHost {
+  explicit PacketBench(std::uint32_t backends) : services(backends) {
+    decider.setConfiguration(services.view);
+    decider.setCompactTokens(&tokens);
+    placement.setRequestsInFlight(&observer.requestsInFlight());
+    placement.setSuspicion(&silence);
+  }
+
+  void forwardPacket(const Backend&, CompactToken sent) override { token = sent; }
+  void resetCaller(const FlowPacket&) override {}
+  Reason placementBlockedBy() const override { return Reason::None; }
+  void onNewerConfigurationSeen(ConfigVersion) override {}
+  void onBackendDraining(BackendId) override {}
+  bool viewIsFresh() const override { return true; }
+  bool backendsAreSettled() const override { return true; }
+  bool resetsDeadFlows() const override { return true; }
+  ViewStamp viewStamp() const override { return {}; }
+  void onHandshake(Duration) override {}
+  void onResponse(BackendId, Duration) override {}
+
+  FlowPacket opening(Endpoint service = kServiceAddress) {
+    FlowPacket packet;
+    packet.caller = {kCaller.address + next / 50000, static_cast<std::uint16_t>(next % 50000)};
+    packet.service = service;
+    packet.opens = true;
+    ++next;
+    return packet;
+  }
+
+  /** Opens a flow and ends its handshake, so that it does not count as in flight. */
+  FlowPacket openFlow() {
+    FlowPacket packet = opening();
+    router.onPacket(packet);
+    packet.opens = false;
+    packet.token = token;
+    packet.sequence = 1;
+    packet.acknowledged = 1;
+    router.onPacket(packet);
+    return packet;
+  }
+
+  BenchRouter services;
+  RealTimeSource time;
+  NullEventLog dropped;
+  BoundedEventLog log{dropped, LogLimits(), time};
+  std::unique_ptr<RandomGenerator> random = makeSeededRandom(1);
+  BackendLoadTable loads{LoadEstimateSettings(), time};
+  PlacementEngine placement{PlacementSettings(), makePlacementPolicy("bounded_rendezvous"), loads,
+                            time, *random};
+  FlowDecider decider{FlowDeciderSettings(), time, placement, *this};
+  FlowObserver observer{FlowObserverSettings(), time};
+  SilenceDetector silence{SilenceSettings(), time, log};
+  CompactTokenCodec tokens{CompactTokenKey{9, 9, 9}};
+  PacketRouter router{decider, silence, observer, tokens, *this, *this, log};
+  CompactToken token;
+  std::uint32_t next = 0;
+};
+
+/** An opening and the end of its handshake, beyond the rate of the log. */
+void packetOpening(benchmark::State& state) {
+  PacketBench bench(150);
+  for (auto _ : state) {
+    bench.openFlow();
+  }
+}
+BENCHMARK(packetOpening);
+
+/** A packet without payload of an open flow. */
+void packetForward(benchmark::State& state) {
+  PacketBench bench(150);
+  FlowPacket packet = bench.openFlow();
+  for (auto _ : state) {
+    bench.router.onPacket(packet);
+  }
+}
+BENCHMARK(packetForward);
+
+/** An opening to a service that nobody has, beyond the rate of the log. */
+void packetReset(benchmark::State& state) {
+  PacketBench bench(150);
+  for (auto _ : state) {
+    bench.router.onPacket(bench.opening({kServiceAddress.address + 1, 443}));
+  }
+}
+BENCHMARK(packetReset);
+
 /** Bytes of the heap in use for each of a million flows that were placed and forwarded once. */
 void memoryOfOpenFlows(benchmark::State& state) {
   constexpr std::int64_t kFlows = 1000000;
--- a/src/common/bounded_event_log.cc
+++ b/src/common/bounded_event_log.cc
@@ -8,11 +8,12 @@
 void BoundedEventLog::write(LogLevel level, std::string_view component, std::string_view event,
                             std::initializer_list<LogField> fields) {
   Budget& budget = budgetOf(component, event);
-  if (!takeLine(budget)) {
-    ++budget.left_out;
-    ++suppressed_;
+  refill(budget);
+  if (budget.balance < 1) {
+    leaveOut(budget);
     return;
   }
+  budget.balance -= 1;
   if (budget.left_out > 0) {
     next_.write(LogLevel::Warn, component, "log_lines_left_out",
                 {{"of_event", std::string(event)}, {"lines", std::exchange(budget.left_out, 0)}});
@@ -34,16 +35,30 @@
   return found->second;
 }
 
-bool BoundedEventLog::takeLine(Budget& budget) {
-  const MonotonicTime now = time_source_.monotonicTime();
-  const double elapsed = std::chrono::duration<double>(now - budget.refilled_at).count();
-  budget.refilled_at = now;
-  budget.balance = std::min(limits_.burst, budget.balance + elapsed * limits_.lines_per_second);
+bool BoundedEventLog::wouldWrite(LogLevel level, std::string_view component,
+                                 std::string_view event) {
+  if (!next_.wouldWrite(level, component, event)) {
+    return false;
+  }
+  Budget& budget = budgetOf(component, event);
+  refill(budget);
   if (budget.balance < 1) {
+    leaveOut(budget);
     return false;
   }
-  budget.balance -= 1;
   return true;
 }
 
+void BoundedEventLog::leaveOut(Budget& budget) {
+  ++budget.left_out;
+  ++suppressed_;
+}
+
+void BoundedEventLog::refill(Budget& budget) const {
+  const MonotonicTime now = time_source_.monotonicTime();
+  const double elapsed = std::chrono::duration<double>(now - budget.refilled_at).count();
+  budget.refilled_at = now;
+  budget.balance = std::min(limits_.burst, budget.balance + elapsed * limits_.lines_per_second);
+}
+
 }  // namespace lugfork
--- a/src/common/bounded_event_log.h
+++ b/src/common/bounded_event_log.h
@@ -29,6 +29,11 @@
   void write(LogLevel level, std::string_view component, std::string_view event,
              std::initializer_list<LogField> fields) override;
 
+  bool wouldWrite(LogLevel level, std::string_view component, std::string_view event) override;
+
+  /** Changes the rate of each event, as where the processor is needed for other work. */
+  void setLinesPerSecond(double rate) { limits_.lines_per_second = rate; }
+
   /** @return lines left out since the start. */
   std::uint64_t suppressed() const { return suppressed_; }
 
@@ -41,10 +46,11 @@
   using BudgetByEvent = std::map<std::string, Budget, std::less<>>;
 
   Budget& budgetOf(std::string_view component, std::string_view event);
-  bool takeLine(Budget& budget);
+  void refill(Budget& budget) const;
+  void leaveOut(Budget& budget);
 
   EventLog& next_;
-  const LogLimits limits_;
+  LogLimits limits_;
   const TimeSource& time_source_;
   std::map<std::string, BudgetByEvent, std::less<>> budgets_;
   std::uint64_t suppressed_ = 0;
--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -42,6 +42,16 @@
    */
   virtual void write(LogLevel level, std::string_view component, std::string_view event,
                      std::initializer_list<LogField> fields) = 0;
+
+  /**
+   * To be asked before the fields of a frequent event are made; an event that isn't written then
+   * counts as left out.
+   * @return false where write() would drop the event.
+   */
+  virtual bool wouldWrite(LogLevel /*level*/, std::string_view /*component*/,
+                          std::string_view /*event*/) {
+    return true;
+  }
 };
 
 /** EventLog that drops everything, for tests. */
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -36,6 +36,9 @@
   observer_.onPlaced(packet, backend.id);
   silence_.onOpening(backend.id);
   sender_.forwardPacket(backend, tokens_.encode(packet.flow(), backend.id));
+  if (!log_.wouldWrite(LogLevel::Info, "flow", "flow_placed")) {
+    return;
+  }
   const ViewStamp view = host_.viewStamp();
   log_.write(LogLevel::Info, "flow", "flow_placed",
              {{"flow", flowName(packet)},
@@ -78,6 +81,9 @@
     return;
   }
   ++counters_.drops_not_certain;
+  if (!log_.wouldWrite(LogLevel::Info, "flow", "opening_dropped")) {
+    return;
+  }
   const ViewStamp view = host_.viewStamp();
   log_.write(LogLevel::Info, "flow", "opening_dropped",
              {{"flow", flowName(packet)},
@@ -98,6 +104,9 @@
     return;
   }
   ++counters_.drops_unknown_backend;
+  if (!log_.wouldWrite(LogLevel::Info, "flow", "packet_dropped")) {
+    return;
+  }
   const ViewStamp view = host_.viewStamp();
   log_.write(LogLevel::Info, "flow", "packet_dropped",
              {{"flow", flowName(packet)},
@@ -172,6 +181,9 @@
   }
   ++counters_.resets_by_reason[static_cast<std::size_t>(reason)];
   sender_.resetCaller(packet);
+  if (!log_.wouldWrite(LogLevel::Info, "flow", "flow_reset")) {
+    return;
+  }
   const ViewStamp view = host_.viewStamp();
   log_.write(
       LogLevel::Info, "flow", "flow_reset",
--- a/src/runtime/json_event_log.cc
+++ b/src/runtime/json_event_log.cc
@@ -60,6 +60,11 @@
   return level >= (found == component_levels_.end() ? lowest_level.load() : found->second);
 }
 
+bool JsonEventLog::wouldWrite(LogLevel level, std::string_view component,
+                              std::string_view /*event*/) {
+  return isWritten(level, component);
+}
+
 void JsonEventLog::write(LogLevel level, std::string_view component, std::string_view event,
                          std::initializer_list<LogField> fields) {
   if (!isWritten(level, component)) {
--- a/src/runtime/json_event_log.h
+++ b/src/runtime/json_event_log.h
@@ -39,6 +39,8 @@
   void write(LogLevel level, std::string_view component, std::string_view event,
              std::initializer_list<LogField> fields) override;
 
+  bool wouldWrite(LogLevel level, std::string_view component, std::string_view event) override;
+
  private:
   bool isWritten(LogLevel level, std::string_view component) const;
 
--- a/tests/common/bounded_event_log_test.cc
+++ b/tests/common/bounded_event_log_test.cc
@@ -27,7 +27,10 @@
     lines.push_back(line);
   }
 
+  bool wouldWrite(LogLevel, std::string_view, std::string_view) override { return !drops; }
+
   std::vector<std::string> lines;
+  bool drops = false;
 };
 
 struct BoundedLogFixture {
@@ -80,5 +83,38 @@
   CHECK(fixture.recorded.lines.size() == 1 + 3);
 }
 
+TEST_CASE("who asks before a line is made hears what write would do", "[log]") {
+  BoundedLogFixture fixture;
+  const auto asks = [&] { return fixture.log.wouldWrite(LogLevel::Info, "flow", "flow_placed"); };
+  for (int line = 0; line < 3; ++line) {
+    CHECK(asks());
+    CHECK(asks());
+    fixture.write("flow", "flow_placed");
+  }
+  CHECK(fixture.recorded.lines.size() == 3);
+  CHECK_FALSE(asks());
+  CHECK_FALSE(asks());
+  CHECK(fixture.log.suppressed() == 2);
+  SECTION("what was not made counts as left out") {
+    fixture.time.now += seconds(1);
+    CHECK(asks());
+    fixture.write("flow", "flow_placed");
+    CHECK(fixture.recorded.lines[3] == "flow/log_lines_left_out flow_placed 2");
+  }
+  SECTION("a lower rate holds from then on") {
+    fixture.log.setLinesPerSecond(1);
+    fixture.time.now += milliseconds(500);
+    CHECK_FALSE(asks());
+    fixture.time.now += milliseconds(500);
+    CHECK(asks());
+  }
+  SECTION("what the next log would drop is not made either") {
+    fixture.recorded.drops = true;
+    fixture.time.now += seconds(1);
+    CHECK_FALSE(asks());
+    CHECK(fixture.log.suppressed() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace lugfork
