Read packets in batches, and serve packets of open flows before openings

Cause: one datagram was read in a turn of the event loop from a socket of 4 MiB, so packets of open flows waited behind all openings that came before them, and openings that waited for the first view were served whatever their age.

Change: UdpEndpoint reads up to 32 datagrams a turn, by recvmmsg or by single calls where the system has no such call (asked once). PacketDaemon handles packets of open flows as they are read and keeps openings in OpeningBacklog until the socket was found empty; the socket holds what is handled in 250 ms; while behind each event gets 5 log lines a second. Before the first view the socket is read each 50 ms. An opening that may be open through another node is placed as a copy, so that admission does not reset it. evidenceIsStale() is not connected to silence yet. One read of the clock a packet instead of two.

--- a/src/flow/flow_packet.h
+++ b/src/flow/flow_packet.h
@@ -23,6 +23,8 @@
   /** Next byte that the caller expects; for an opening packet, its copies sent before. */
   std::uint32_t acknowledged = 0;
   std::uint16_t payload_bytes = 0;
+  /** An opening that has waited here for so long that a copy of it may be at a server already. */
+  bool may_be_open = false;
 
   FlowId flow() const { return flowIdOf(caller, service); }
 };
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -23,7 +23,7 @@
 
 void PacketRouter::onOpening(const FlowPacket& packet) {
   const BackendId silent = silentChoice(packet);
-  const bool is_copy = packet.acknowledged > 0;
+  const bool is_copy = packet.acknowledged > 0 || packet.may_be_open;
   const auto decision = decider_.decideOpening({packet.flow(), packet.service, silent, is_copy});
   if (!decision) {
     refuseOpening(packet, decision.error());
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -1,5 +1,7 @@
 #include "runtime/packet_daemon.h"
 
+#include <algorithm>
+
 #include "runtime/api_response.h"
 #include "runtime/process_times.h"
 #include "runtime/program.h"
@@ -16,6 +18,17 @@
 constexpr unsigned kControlThreads = 1;
 /** No caller that stalls holds a thread for longer. */
 constexpr Duration kHttpTimeout = seconds(2);
+/** Time between reads of the packet socket before the first view: a quarter of the time after which
+ * callers send an opening again, so that it is known which ones wait in vain. */
+constexpr Duration kEarlyReadInterval = milliseconds(50);
+/** Packets of open flows kept for the first view: what a weak node forwards within 0.3 s. */
+constexpr std::size_t kMostEarlyPackets = 512;
+/** Openings served before the socket is read again: some 10 ms of a weak node. */
+constexpr std::size_t kOpeningsOfTurn = 16;
+/** Openings served of each full batch where the socket does not empty: new flows get a share. */
+constexpr std::size_t kOpeningsOfFullBatch = 2;
+/** Log lines a second for each event while behind: a line costs as much as half a packet. */
+constexpr double kLogLinesBehind = 5;
 
 /** @return how other balancers are to know this one. */
 KnownPeer selfOf(const PacketDaemonSettings& settings) {
@@ -61,6 +74,8 @@
               directory_, selector_, scheduler_, time_source_),
       node_(settings_.node, platform.layout, source_, *this, scheduler_, time_source_, *random_,
             log_),
+      receive_backlog_(settings_.receive_backlog, time_source_.monotonicTime()),
+      openings_(settings_.opening_backlog),
       socket_(
           io_context, settings_.packet_address,
           [this](std::span<const std::uint8_t> bytes, Endpoint from) { onDatagram(bytes, from); },
@@ -79,11 +94,35 @@
   node_.setProcessorClock(processor_clock_);
   node_.setResponseCallback([this](Duration duration) { metrics_.onResponse(duration); });
   node_.setHandshakeCallback([this](Duration duration) { metrics_.onHandshake(duration); });
-  node_.setCompletionCallback([this] {
-    // Packets that came before wait in the socket and are served now.
-    ready_ = node_.isReady();
-    socket_.startReceiving();
-  });
+  node_.setCompletionCallback([this] { onComplete(); });
+}
+
+void PacketDaemon::readEarlyPackets() {
+  if (is_serving_) {
+    return;
+  }
+  socket_.receiveWaiting();
+  receive_backlog_.onTurn({0, true}, time_source_.monotonicTime());
+  batch_at_.reset();
+  scheduler_.callAfter(kEarlyReadInterval, [this] { readEarlyPackets(); });
+}
+
+void PacketDaemon::onComplete() {
+  ready_ = node_.isReady();
+  is_serving_ = true;
+  receive_backlog_.onDelayed(time_source_.monotonicTime());
+  socket_.startReceivingBatches([this](const ReceiveTurn& turn) { return onTurn(turn); });
+}
+
+void PacketDaemon::serveEarlyPackets(std::size_t most) {
+  for (std::size_t served = 0; served < most && !early_packets_.empty(); ++served) {
+    const std::vector<std::uint8_t> bytes = std::move(early_packets_.front());
+    early_packets_.pop_front();
+    handle(codec_.decode(bytes).value(), bytes);
+  }
+  if (early_packets_.empty()) {
+    early_packets_.shrink_to_fit();
+  }
 }
 
 std::unique_ptr<UdpPeerSocket> PacketDaemon::makePeerSocket() {
@@ -173,6 +212,7 @@
   }
   // While the first view is on its way: nobody is sent here before it is whole.
   startServers();
+  readEarlyPackets();
   io_context_.run();
   closeWhileServing(io_context_, ready_server_);
   log_.write(LogLevel::Info, "daemon", "stopped",
@@ -180,9 +220,12 @@
 }
 
 void PacketDaemon::onDatagram(std::span<const std::uint8_t> bytes, Endpoint from) {
-  const MonotonicTime received_at = time_source_.monotonicTime();
+  if (!batch_at_) {
+    handled_at_ = time_source_.monotonicTime();
+    batch_at_ = handled_at_;
+  }
   ++counters_.packets_received;
-  leave_timer_.onDatagram(received_at);
+  leave_timer_.onDatagram(handled_at_);
   const auto decoded = codec_.decode(bytes);
   if (!decoded) {
     ++counters_.packets_invalid[static_cast<std::size_t>(decoded.error())];
@@ -192,9 +235,105 @@
                 {"problem", toString(decoded.error())}});
     return;
   }
+  const FlowPacket& packet = decoded.value();
+  if (packet.opens) {
+    addOpening(packet, bytes);
+    return;
+  }
+  if (packet.aborts && !openings_.isEmpty()) {
+    openings_.onGivenUp(packet.flow());
+  }
+  if (is_serving_) {
+    handle(packet, bytes);
+    return;
+  }
+  if (early_packets_.size() >= kMostEarlyPackets) {
+    early_packets_.pop_front();
+    ++counters_.early_packets_dropped;
+  }
+  early_packets_.emplace_back(bytes.begin(), bytes.end());
+}
+
+void PacketDaemon::handle(const FlowPacket& packet, std::span<const std::uint8_t> bytes) {
   packet_ = bytes;
-  node_.onPacket(decoded.value());
-  metrics_.onPacketHandled(time_source_.monotonicTime() - received_at);
+  node_.onPacket(packet);
+  const MonotonicTime now = time_source_.monotonicTime();
+  metrics_.onPacketHandled(now - handled_at_);
+  handled_at_ = now;
+}
+
+void PacketDaemon::addOpening(const FlowPacket& packet, std::span<const std::uint8_t> bytes) {
+  WaitingOpening opening;
+  opening.flow = packet.flow();
+  opening.copies = packet.acknowledged;
+  opening.read_at = *batch_at_;
+  opening.waits_since = receive_backlog_.waitingSince(*batch_at_);
+  opening.oldest_arrival = receive_backlog_.emptyAt();
+  opening.bytes.assign(bytes.begin(), bytes.end());
+  openings_.add(std::move(opening));
+}
+
+bool PacketDaemon::onTurn(const ReceiveTurn& turn) {
+  if (!batch_at_) {
+    handled_at_ = time_source_.monotonicTime();
+  }
+  receive_backlog_.onTurn(turn, batch_at_.value_or(handled_at_));
+  batch_at_.reset();
+  onBehindChanged();
+  const bool open_flows_wait = !turn.is_empty || !early_packets_.empty();
+  serveEarlyPackets(DatagramReader::kMost);
+  serveOpenings(open_flows_wait ? kOpeningsOfFullBatch : kOpeningsOfTurn);
+  return !openings_.isEmpty() || !early_packets_.empty();
+}
+
+void PacketDaemon::onBehindChanged() {
+  if (receive_backlog_.socketDatagrams() != datagrams_held_) {
+    datagrams_held_ = receive_backlog_.socketDatagrams();
+    socket_.holdDatagrams(datagrams_held_);
+  }
+  if (receive_backlog_.isBehind() == was_behind_) {
+    return;
+  }
+  was_behind_ = receive_backlog_.isBehind();
+  log_.setLinesPerSecond(was_behind_
+                             ? std::min(kLogLinesBehind, settings_.log_limits.lines_per_second)
+                             : settings_.log_limits.lines_per_second);
+  log_.write(LogLevel::Warn, "daemon", was_behind_ ? "packets_behind" : "packets_caught_up",
+             {{"openings_waiting", static_cast<std::uint64_t>(openings_.size())},
+              {"socket_datagrams", static_cast<std::uint64_t>(datagrams_held_)}});
+}
+
+void PacketDaemon::serveOpenings(std::size_t most) {
+  for (std::size_t served = 0; served < most && serveOpening(); ++served) {
+    rejectOpening();
+  }
+}
+
+bool PacketDaemon::serveOpening() {
+  const auto opening = openings_.take(handled_at_);
+  if (!opening) {
+    return false;
+  }
+  FlowPacket packet = codec_.decode(opening->bytes).value();
+  packet.may_be_open = openings_.mayBeOpen(*opening, handled_at_);
+  handle(packet, opening->bytes);
+  return true;
+}
+
+void PacketDaemon::rejectOpening() {
+  const auto opening = receive_backlog_.isBehind() ? openings_.takeToReject(handled_at_)
+                                                   : std::optional<WaitingOpening>();
+  if (!opening) {
+    return;
+  }
+  ++counters_.openings_rejected;
+  const FlowPacket packet = codec_.decode(opening->bytes).value();
+  resetCaller(packet);
+  if (log_.wouldWrite(LogLevel::Info, "flow", "opening_rejected_behind")) {
+    log_.write(LogLevel::Info, "flow", "opening_rejected_behind",
+               {{"flow", flowName(packet)},
+                {"waited_ms", toMilliseconds(handled_at_ - opening->waits_since)}});
+  }
 }
 
 void PacketDaemon::forwardPacket(const Backend& backend, CompactToken token) {
@@ -287,10 +426,11 @@
     return problemResponse(kHttpNotFound, "no such resource");
   }
   return callOnLoop(io_context_, [&] {
-    return plainText(
-        kHttpOk, metrics_.render({node_, counters_, source_, hedged_store_.hedges(),
-                                  provider_.get(), view_client_.get(), peer_socket_.get(),
-                                  log_.suppressed(), first_packet_at_, evidence_exchange_.get()}));
+    return plainText(kHttpOk,
+                     metrics_.render({node_, counters_, source_, hedged_store_.hedges(),
+                                      provider_.get(), view_client_.get(), peer_socket_.get(),
+                                      log_.suppressed(), first_packet_at_, evidence_exchange_.get(),
+                                      &receive_backlog_, &openings_}));
   });
 }
 
--- a/src/runtime/packet_daemon.h
+++ b/src/runtime/packet_daemon.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -15,6 +16,8 @@
 #include "discovery/split_feed_source.h"
 #include "discovery/timed_source.h"
 #include "discovery/upstream_source.h"
+#include "load/opening_backlog.h"
+#include "load/receive_backlog.h"
 #include "runtime/asio_scheduler.h"
 #include "runtime/http_server.h"
 #include "runtime/leave_timer.h"
@@ -54,6 +57,8 @@
   SplitFeedSettings split_feeds;
   LeaveSettings leave;
   LogLimits log_limits;
+  ReceiveBacklogSettings receive_backlog;
+  OpeningBacklogSettings opening_backlog;
 };
 
 /** What ties the daemon to a platform. */
@@ -77,6 +82,11 @@
    */
   void run();
 
+  /** @return true where callers' repetitions may be due to this balancer's own delay. */
+  bool evidenceIsStale() const {
+    return receive_backlog_.evidenceIsStale(time_source_.monotonicTime());
+  }
+
  private:
   void forwardPacket(const Backend& backend, CompactToken token) override;
   void resetCaller(const FlowPacket& packet) override;
@@ -94,6 +104,18 @@
   void connectPeers();
   void connectEvidence();
   void onDatagram(std::span<const std::uint8_t> bytes, Endpoint from);
+  /** Reads what waits for the first view, so that it is known since when. */
+  void readEarlyPackets();
+  void onComplete();
+  void serveEarlyPackets(std::size_t most);
+  /** Serves openings after packets of open flows. @return true where more wait. */
+  bool onTurn(const ReceiveTurn& turn);
+  void onBehindChanged();
+  void addOpening(const FlowPacket& packet, std::span<const std::uint8_t> bytes);
+  void serveOpenings(std::size_t most);
+  bool serveOpening();
+  void rejectOpening();
+  void handle(const FlowPacket& packet, std::span<const std::uint8_t> bytes);
   void awaitSignal();
   void onSignal(int signal);
   void reload();
@@ -128,6 +150,8 @@
   PacketNode node_;
   /** Null where this balancer knows no other, or shares no evidence. */
   std::unique_ptr<EvidenceExchange> evidence_exchange_;
+  ReceiveBacklog receive_backlog_;
+  OpeningBacklog openings_;
   UdpEndpoint socket_;
   boost::asio::signal_set signals_;
   LeaveTimer leave_timer_;
@@ -141,6 +165,15 @@
   std::atomic<bool> ready_ = false;
   /** When a packet was first forwarded, as machineTime() counts. */
   std::optional<Duration> first_packet_at_;
+  /** Packets of open flows that came before the first view, the latest ones. */
+  std::deque<std::vector<std::uint8_t>> early_packets_;
+  bool is_serving_ = false;
+  bool was_behind_ = false;
+  std::size_t datagrams_held_ = 0;
+  /** When the batch at hand was read; unset between batches. */
+  std::optional<MonotonicTime> batch_at_;
+  /** When the packet before the one at hand was handled. */
+  MonotonicTime handled_at_;
   /** The packet at hand, while the node decides on it. */
   std::span<const std::uint8_t> packet_;
   std::vector<std::uint8_t> datagram_;
--- a/src/runtime/packet_metrics.cc
+++ b/src/runtime/packet_metrics.cc
@@ -37,6 +37,31 @@
   }
 }
 
+void addBacklog(MetricPage& page, const PacketFigures& figures) {
+  if (figures.receive_backlog == nullptr || figures.openings == nullptr) {
+    return;
+  }
+  addCounter(page, "lugfork_behind_total", "Times the packet socket did not empty for 100 ms.",
+             figures.receive_backlog->timesBehind());
+  addCounter(page, "lugfork_stops_total", "Times the process stood still with packets at hand.",
+             figures.receive_backlog->stops());
+  const char* help = "Packets dropped.";
+  const OpeningBacklogCounters& counters = figures.openings->counters();
+  addCounter(page, "lugfork_packets_dropped_total", help, counters.outlived,
+             {{"cause", "opening_outlived"}});
+  addCounter(page, "lugfork_packets_dropped_total", help, counters.crowded_out,
+             {{"cause", "opening_crowded_out"}});
+  addCounter(page, "lugfork_packets_dropped_total", help, counters.joined,
+             {{"cause", "opening_copy_joined"}});
+  addCounter(page, "lugfork_packets_dropped_total", help, counters.given_up,
+             {{"cause", "opening_given_up"}});
+  addCounter(page, "lugfork_packets_dropped_total", help, figures.sockets.early_packets_dropped,
+             {{"cause", "before_first_view"}});
+  addCounter(page, "lugfork_openings_rejected_behind_total",
+             "Openings rejected that waited for this balancer's processor.",
+             figures.sockets.openings_rejected);
+}
+
 void addFollower(MetricPage& page, const ViewFollower& follower) {
   const ViewFollowerCounters& counters = follower.counters();
   addCounter(page, "lugfork_platform_pages_total", "Pages read.", counters.pages);
@@ -201,6 +226,7 @@
   MetricPage page;
   addDataPath(page, node.packetCounters());
   addSockets(page, figures.sockets);
+  addBacklog(page, figures);
   addFollower(page, node.follower());
   addUpstream(page, figures);
   if (figures.provider != nullptr) {
--- a/src/runtime/packet_metrics.h
+++ b/src/runtime/packet_metrics.h
@@ -7,6 +7,8 @@
 #include "discovery/evidence_exchange.h"
 #include "discovery/upstream_source.h"
 #include "flow/packet_codec.h"
+#include "load/opening_backlog.h"
+#include "load/receive_backlog.h"
 #include "runtime/metric_page.h"
 #include "runtime/udp_peer_socket.h"
 
@@ -16,6 +18,10 @@
 struct PacketSocketCounters {
   std::uint64_t packets_received = 0;
   std::array<std::uint64_t, kPacketErrorCount> packets_invalid{};
+  /** Packets of open flows that came before the first view and had no room. */
+  std::uint64_t early_packets_dropped = 0;
+  /** Openings that were rejected since they had waited for this balancer's processor. */
+  std::uint64_t openings_rejected = 0;
 };
 
 /** Where the counts of the page stand. */
@@ -34,6 +40,9 @@
   std::optional<Duration> first_packet_at;
   /** Unset where the node shares no evidence of silent servers. */
   const EvidenceExchange* evidence = nullptr;
+  /** Unset where packets are not read in batches. */
+  const ReceiveBacklog* receive_backlog = nullptr;
+  const OpeningBacklog* openings = nullptr;
 };
 
 /** Latency histograms that are filled while the node runs, and the page with all figures. */
--- a/src/runtime/udp_endpoint.cc
+++ b/src/runtime/udp_endpoint.cc
@@ -1,6 +1,7 @@
 #include "runtime/udp_endpoint.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 
 #include "wire/datagram_codec.h"
 
@@ -12,6 +13,9 @@
 
 constexpr std::size_t kLargestDatagram = 65536;
 constexpr int kSocketBufferBytes = 4 * 1024 * 1024;
+/** What the system counts for a small datagram with its own book-keeping, by half: it doubles the
+ * size that is set. */
+constexpr std::size_t kBytesOfSmallDatagram = 512;
 
 udp::endpoint toAsio(Endpoint endpoint) {
   return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
@@ -38,6 +42,51 @@
   }
 }
 
+void UdpEndpoint::startReceivingBatches(TurnHandler on_turn,
+                                        DatagramReader::ReceiveMany receive_many) {
+  on_turn_ = std::move(on_turn);
+  reader(receive_many);
+  receiveBatch();
+}
+
+void UdpEndpoint::receiveWaiting() {
+  DatagramReader& waiting = reader(&::recvmmsg);
+  while (!waiting.read(socket_.native_handle(), handler_).is_empty) {
+  }
+}
+
+DatagramReader& UdpEndpoint::reader(DatagramReader::ReceiveMany receive_many) {
+  if (reader_ == nullptr) {
+    buffer_.reset();
+    reader_ = std::make_unique<DatagramReader>(receive_many);
+  }
+  return *reader_;
+}
+
+void UdpEndpoint::holdDatagrams(std::size_t datagrams) {
+  const auto bytes = static_cast<int>(datagrams * kBytesOfSmallDatagram);
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::socket_base::receive_buffer_size(bytes), ignored);
+}
+
+void UdpEndpoint::awaitBatch() {
+  socket_.async_wait(udp::socket::wait_read, [this](const boost::system::error_code& error) {
+    if (error != boost::asio::error::operation_aborted) {
+      receiveBatch();
+    }
+  });
+}
+
+void UdpEndpoint::receiveBatch() {
+  const DatagramReader::Batch batch = reader_->read(socket_.native_handle(), handler_);
+  const bool wants_turn = on_turn_({batch.datagrams, batch.is_empty});
+  if (batch.is_empty && !wants_turn) {
+    awaitBatch();
+    return;
+  }
+  boost::asio::post(socket_.get_executor(), [this] { receiveBatch(); });
+}
+
 void UdpEndpoint::sendDatagram(Endpoint destination, const Datagram& datagram) {
   sendBytes(destination, encodeDatagram(datagram));
 }
--- a/src/runtime/udp_endpoint.h
+++ b/src/runtime/udp_endpoint.h
@@ -7,6 +7,8 @@
 #include <span>
 
 #include "flow/flow_router.h"
+#include "load/receive_backlog.h"
+#include "runtime/datagram_reader.h"
 
 namespace lugfork {
 
@@ -28,6 +30,25 @@
   /** Begins to read datagrams; to be called once, where the socket was made to receive later. */
   void startReceiving() { receiveNext(); }
 
+  /**
+   * Called after each read of a batch, once its datagrams were handed over.
+   * @return true where it is to be called again soon, also where the socket is empty.
+   */
+  using TurnHandler = std::function<bool(const ReceiveTurn&)>;
+
+  /**
+   * Begins to read datagrams of up to DatagramReader::kLargest bytes, several in a turn of the
+   * event loop; to be called once, where the socket was made to receive later.
+   */
+  void startReceivingBatches(TurnHandler on_turn,
+                             DatagramReader::ReceiveMany receive_many = &::recvmmsg);
+
+  /** Hands over what waits now, before startReceivingBatches(). */
+  void receiveWaiting();
+
+  /** Sets what the system may keep for this socket, by about so many small datagrams. */
+  void holdDatagrams(std::size_t datagrams);
+
   void sendDatagram(Endpoint destination, const Datagram& datagram) override;
   void sendBytes(Endpoint destination, std::span<const std::uint8_t> bytes);
 
@@ -36,12 +57,18 @@
 
  private:
   void receiveNext();
+  DatagramReader& reader(DatagramReader::ReceiveMany receive_many);
+  void awaitBatch();
+  void receiveBatch();
 
   boost::asio::ip::udp::socket socket_;
   Handler handler_;
   boost::asio::ip::udp::endpoint sender_;
   /** Not cleared: memory that no datagram fills is never used. */
-  const std::unique_ptr<std::uint8_t[]> buffer_;
+  std::unique_ptr<std::uint8_t[]> buffer_;
+  /** Null where datagrams are read one in a turn. */
+  std::unique_ptr<DatagramReader> reader_;
+  TurnHandler on_turn_;
 };
 
 }  // namespace lugfork
--- a/tests/platform/packetd_test.cc
+++ b/tests/platform/packetd_test.cc
@@ -84,6 +84,65 @@
   CHECK(server.receive() == expected);
 }
 
+/** @return a packet of the open flow that a server got, with content. */
+Bytes dataOf(const Bytes& forwarded) {
+  Bytes data(forwarded.begin() + kPrefixBytes, forwarded.end());
+  data[kFlagsAt] = 2;
+  return data;
+}
+
+TEST_CASE("a packet of an open flow does not wait behind openings", "[packetd]") {
+  constexpr int kOpenings = 300;
+  StoreStandin store;
+  TestSocket server;
+  store.put("op/config", kRoutes);
+  store.put("servers/i-0badcafe01", serverEntry(server.address()));
+  Packetd daemon(store.address());
+  daemon.start();
+  REQUIRE(daemon.waitForReady(200));
+  TestSocket client;
+  client.send(daemon.packetAddress(), opening(40001));
+  const Bytes first = server.receive();
+  REQUIRE(first.size() == kPrefixBytes + 32);
+  daemon.signal(SIGSTOP);
+  for (int count = 0; count < kOpenings; ++count) {
+    client.send(daemon.packetAddress(), opening(static_cast<std::uint16_t>(41000 + count)));
+  }
+  client.send(daemon.packetAddress(), dataOf(first));
+  daemon.signal(SIGCONT);
+  int openings_before = 0;
+  Bytes next = server.receive();
+  while (next.size() == kPrefixBytes + 32 && next[kPrefixBytes + kFlagsAt] != 2) {
+    ++openings_before;
+    next = server.receive();
+  }
+  REQUIRE(next.size() == kPrefixBytes + 32);
+  // New flows get a share of two in each full batch of 32.
+  CHECK(openings_before <= 2 * (kOpenings / 32));
+}
+
+TEST_CASE("an opening that waited until its caller sent a copy is not served", "[packetd]") {
+  StoreStandin store;
+  TestSocket server;
+  Packetd daemon(store.address());
+  daemon.start();
+  TestSocket client;
+  REQUIRE(Packetd::eventually([&] { return daemon.readyStatus() == 503; }));
+  client.send(daemon.packetAddress(), opening(40001));
+  // The daemon has read it, without a view.
+  REQUIRE(daemon.metricsSay("lugfork_packets_received_total 1"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(250));
+  store.put("servers/i-0badcafe01", serverEntry(server.address()));
+  store.put("op/config", kRoutes);
+  REQUIRE(daemon.waitForReady(200));
+  client.send(daemon.packetAddress(), opening(40002));
+  const Bytes served = server.receive();
+  REQUIRE(served.size() == kPrefixBytes + 32);
+  CHECK(served[kPrefixBytes + 16] == 40002 >> 8);
+  CHECK(served[kPrefixBytes + 17] == (40002 & 0xff));
+  CHECK(daemon.metricsSay(R"(lugfork_packets_dropped_total{cause="opening_outlived"} 1)"));
+}
+
 TEST_CASE("a zone out of service gets no new flow and keeps its open ones", "[packetd]") {
   StoreStandin store;
   TestSocket in_lac;
--- /dev/null
+++ b/tests/runtime/udp_endpoint_test.cc
@@ -0,0 +1,151 @@
+#include "runtime/udp_endpoint.h"
+
+#include <catch2/catch.hpp>
+#include <cerrno>
+
+namespace lugfork {
+namespace {
+
+constexpr std::uint32_t kLoopback = 0x7f000001;
+const Endpoint kAnyPort{kLoopback, 0};
+
+/** Answers as a system that has no call for several datagrams. */
+int receiveNone(int, mmsghdr*, unsigned, int, timespec*) {
+  errno = ENOSYS;
+  return -1;
+}
+
+DatagramReader::ReceiveMany callFor(bool multiple) {
+  return multiple ? &::recvmmsg : &receiveNone;
+}
+
+/** An endpoint that reads batches, and one that sends to it. */
+struct BatchHarness {
+  explicit BatchHarness(bool reads_multiple) : multiple(reads_multiple) {}
+
+  void send(std::size_t datagrams, std::size_t bytes = 4) {
+    for (std::size_t index = 0; index < datagrams; ++index) {
+      std::vector<std::uint8_t> content(bytes);
+      content[0] = static_cast<std::uint8_t>(sent >> 8U);
+      content[1] = static_cast<std::uint8_t>(sent);
+      sender.sendBytes(receiver.localAddress(), content);
+      ++sent;
+    }
+  }
+
+  void start() {
+    receiver.startReceivingBatches(
+        [this](const ReceiveTurn& turn) {
+          turns.push_back(turn);
+          return further_turns > 0 && --further_turns >= 0;
+        },
+        callFor(multiple));
+  }
+
+  /** Handles what is there, until that many datagrams came. */
+  void receive(std::size_t datagrams) {
+    while (numbers.size() < datagrams && io_context.run_one_for(std::chrono::seconds(5)) > 0) {
+    }
+    io_context.poll();
+  }
+
+  const bool multiple;
+  boost::asio::io_context io_context;
+  std::vector<std::size_t> numbers;
+  std::vector<std::size_t> sizes;
+  std::vector<Endpoint> senders;
+  std::vector<ReceiveTurn> turns;
+  int further_turns = 0;
+  std::size_t sent = 0;
+  UdpEndpoint sender{io_context, kAnyPort, [](std::span<const std::uint8_t>, Endpoint) {}};
+  UdpEndpoint receiver{io_context, kAnyPort,
+                       [this](std::span<const std::uint8_t> bytes, Endpoint from) {
+                         numbers.push_back(bytes[0] * 256U + bytes[1]);
+                         sizes.push_back(bytes.size());
+                         senders.push_back(from);
+                       },
+                       UdpEndpoint::Receiving::Later};
+};
+
+std::vector<std::size_t> numbersTo(std::size_t count) {
+  std::vector<std::size_t> numbers(count);
+  for (std::size_t index = 0; index < count; ++index) {
+    numbers[index] = index;
+  }
+  return numbers;
+}
+
+TEST_CASE("batches bring all datagrams in their order", "[udp_endpoint]") {
+  const bool multiple = GENERATE(true, false);
+  BatchHarness harness(multiple);
+  harness.send(100);
+  harness.start();
+  harness.receive(100);
+  CHECK(harness.numbers == numbersTo(100));
+  CHECK(harness.senders == std::vector<Endpoint>(100, harness.sender.localAddress()));
+  REQUIRE(harness.turns.size() == 4);
+  CHECK(harness.turns[0].datagrams == DatagramReader::kMost);
+  CHECK_FALSE(harness.turns[0].is_empty);
+  CHECK(harness.turns[3].datagrams == 4);
+  CHECK(harness.turns[3].is_empty);
+  SECTION("and those that come later") {
+    harness.send(3);
+    harness.receive(103);
+    harness.send(40);
+    harness.receive(143);
+    CHECK(harness.numbers == numbersTo(143));
+  }
+}
+
+TEST_CASE("a whole batch does not mean an empty socket", "[udp_endpoint]") {
+  const bool multiple = GENERATE(true, false);
+  BatchHarness harness(multiple);
+  harness.send(DatagramReader::kMost);
+  harness.start();
+  harness.receive(DatagramReader::kMost);
+  REQUIRE(harness.turns.size() == 2);
+  CHECK_FALSE(harness.turns[0].is_empty);
+  CHECK(harness.turns[1].datagrams == 0);
+  CHECK(harness.turns[1].is_empty);
+}
+
+TEST_CASE("who asks for it gets turns while the socket is empty", "[udp_endpoint]") {
+  BatchHarness harness(true);
+  harness.further_turns = 3;
+  harness.start();
+  harness.receive(0);
+  CHECK(harness.turns.size() == 4);
+}
+
+TEST_CASE("a datagram that is too long comes cut", "[udp_endpoint]") {
+  const bool multiple = GENERATE(true, false);
+  BatchHarness harness(multiple);
+  harness.send(1, 5000);
+  harness.send(1);
+  harness.start();
+  harness.receive(2);
+  CHECK(harness.sizes == std::vector<std::size_t>{DatagramReader::kLargest, 4});
+}
+
+TEST_CASE("a system without a call for several datagrams is asked for it once", "[udp_endpoint]") {
+  const DatagramReader::Handler ignore = [](std::span<const std::uint8_t>, Endpoint) {};
+  DatagramReader several;
+  CHECK(several.read(-1, ignore).is_empty);
+  CHECK_FALSE(several.readsSingly());
+  DatagramReader single(&receiveNone);
+  CHECK(single.read(-1, ignore).is_empty);
+  CHECK(single.readsSingly());
+}
+
+TEST_CASE("the socket holds no more than it was told", "[udp_endpoint]") {
+  BatchHarness harness(true);
+  harness.receiver.holdDatagrams(256);
+  harness.send(4000);
+  harness.start();
+  harness.receive(256);
+  CHECK(harness.numbers.size() >= 128);
+  CHECK(harness.numbers.size() <= 1024);
+}
+
+}  // namespace
+}  // namespace lugfork
