Give each port number to one test at a time, on the whole machine

The fixture asked the kernel for a free port and closed it, and the balancer bound it some milliseconds later; where somebody else had it by then, it ended with 1 ("bind: Address already in use"). The check did not show the exit code.

ReservedPort holds a number by a socket bound to an abstract name, between processes too, in a range that neither outgoing connections nor the process tests use. The check of a balancer's end is as strict as before and shows the exit code and the log.

--- a/tests/platform/packetd_fixture.h
+++ b/tests/platform/packetd_fixture.h
@@ -15,9 +15,9 @@
 #include <fstream>
 #include <mutex>
 #include <optional>
-#include <random>
 #include <thread>
 
+#include "platform/reserved_port.h"
 #include "platform/store_standin.h"
 #include "runtime/http_client.h"
 
@@ -84,27 +84,6 @@
   int socket_;
 };
 
-/**
- * @return a TCP port that nobody listens on. Ports below 32768 are not given to outgoing
- * connections: one of those took a port between this call and the daemon's start ("Possible problem
- * binding to port", beside a soak that opens hundreds of connections a second).
- */
-inline std::uint16_t freeTcpPort() {
-  constexpr std::uint16_t kFirstPort = 12000;
-  constexpr std::uint16_t kPorts = 20000;
-  static std::mt19937 random{std::random_device{}()};
-  while (true) {
-    const auto port = static_cast<std::uint16_t>(kFirstPort + random() % kPorts);
-    const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in name = nameOf({kLoopback, port});
-    const bool is_free = ::bind(probe, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0;
-    ::close(probe);
-    if (is_free) {
-      return port;
-    }
-  }
-}
-
 inline std::string temporaryFile(const std::string& content) {
   std::string path = "/tmp/lugfork-packetd-XXXXXX";
   const int file = mkstemp(path.data());
@@ -131,8 +110,12 @@
       : Packetd(store, seeds, PeerSettings()) {}
 
   Packetd(Endpoint store, const std::vector<Endpoint>& seeds, const PeerSettings& peers)
-      : ready_{kLoopback, freeTcpPort()}, control_{peers.address, freeTcpPort()} {
-    packet_ = peers.packet_address.isSet() ? peers.packet_address : TestSocket().address();
+      : ready_{kLoopback, ready_port_.number()},
+        control_{peers.address, control_port_.number()},
+        packet_{kLoopback, packet_port_.number()} {
+    if (peers.packet_address.isSet()) {
+      packet_ = peers.packet_address;
+    }
     std::string settings =
         "name = \"n\"\nzone = \"" + peers.zone + "\"\ntoken-key = \"" + kKey + "\"\nstore = \"" +
         toString(store) + "\"\npacket-address = \"" + toString(packet_) + "\"\nready-address = \"" +
@@ -304,6 +287,10 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
   }
 
+  /** Held until the daemon is gone, which may start later and more than once. */
+  const ReservedPort ready_port_;
+  const ReservedPort control_port_;
+  const ReservedPort packet_port_;
   Endpoint ready_;
   Endpoint control_;
   Endpoint packet_;
--- a/tests/platform/packetd_test.cc
+++ b/tests/platform/packetd_test.cc
@@ -203,13 +203,13 @@
   TestSocket server;
   store.put("op/config", kRoutes);
   store.put("servers/i-0badcafe01", serverEntry(server.address()));
-  const std::uint16_t peer_port = TestSocket().address().port;
-  Packetd first(store.address(), {}, {kLoopback, peer_port});
+  const ReservedPort peer_port;
+  Packetd first(store.address(), {}, {kLoopback, peer_port.number()});
   first.start();
   REQUIRE(first.waitForReady(200));
   StoreStandin refusing;
   refusing.failWith(503);
-  Packetd second(refusing.address(), {first.controlAddress()}, {kLoopback + 1, peer_port});
+  Packetd second(refusing.address(), {first.controlAddress()}, {kLoopback + 1, peer_port.number()});
   second.start();
   REQUIRE(second.waitForReady(200));
   TestSocket client;
@@ -226,9 +226,9 @@
           "[packetd]") {
   StoreStandin store;
   store.put("op/config", kRoutes);
-  const std::uint16_t peer_port = TestSocket().address().port;
-  Packetd first(store.address(), {}, {kLoopback, peer_port});
-  Packetd second(store.address(), {first.controlAddress()}, {kLoopback + 1, peer_port});
+  const ReservedPort peer_port;
+  Packetd first(store.address(), {}, {kLoopback, peer_port.number()});
+  Packetd second(store.address(), {first.controlAddress()}, {kLoopback + 1, peer_port.number()});
   first.start();
   second.start();
   // Help lines begin in the same way, but not at the start of a line.
--- a/tests/platform/soak/early_signal_test.cc
+++ b/tests/platform/soak/early_signal_test.cc
@@ -108,14 +108,18 @@
   bool had_begun = false;
 };
 
-/** @return whether the end is one that the promise of planned stops allows. */
-bool endedWell(Signalled& balancer) {
+/** @return the exit code, or minus the number of the signal that ended the balancer. */
+int endOf(Signalled& balancer) {
   if (balancer.number == SIGHUP) {
     // Where SIGHUP has ended it, the second signal goes to nobody.
     CHECK(Packetd::eventually([&] { return balancer.daemon.holdsOrHandles(SIGTERM); }));
     balancer.daemon.signal(SIGTERM);
   }
-  const int exit_code = balancer.daemon.wait();
+  return balancer.daemon.wait();
+}
+
+/** @return whether the end is one that the promise of planned stops allows. */
+bool isAllowed(int exit_code, const Signalled& balancer) {
   const bool by_first_signal = exit_code == -balancer.number;
   return exit_code == 0 || (by_first_signal && !balancer.had_begun);
 }
@@ -138,7 +142,9 @@
     }
     for (Signalled& balancer : balancers) {
       CAPTURE(round, balancer.number, balancer.had_begun);
-      CHECK(endedWell(balancer));
+      const int exit_code = endOf(balancer);
+      CAPTURE(exit_code, balancer.daemon.log());
+      CHECK(isAllowed(exit_code, balancer));
     }
   }
   std::printf("%zu of %zu signals came before the program's first line\n", before_the_program,
--- a/tests/platform/soak/node_fleet.h
+++ b/tests/platform/soak/node_fleet.h
@@ -23,13 +23,13 @@
   NodeFleet(std::size_t count, const std::vector<std::string>& zones, std::uint16_t packet_port,
             Endpoint store, ZoneCut& zone_cut, PromiseMonitor& monitor)
       : monitor_(monitor) {
-    const std::uint16_t peer_port = platform::TestSocket().address().port;
     std::vector<Endpoint> seeds;
     for (std::size_t index = 0; index < count; ++index) {
       Node& node = nodes_.emplace_back();
       const std::uint32_t address = kFirstAddress + static_cast<std::uint32_t>(index);
-      const platform::Packetd::PeerSettings peers{
-          address, peer_port, Endpoint{address, packet_port}, zones[index % zones.size()]};
+      const platform::Packetd::PeerSettings peers{address, peer_port_.number(),
+                                                  Endpoint{address, packet_port},
+                                                  zones[index % zones.size()]};
       node.zone = peers.zone;
       zone_cut.addBalancer(address, peers.zone);
       node.process = std::make_unique<platform::Packetd>(store, seeds, peers);
@@ -252,6 +252,8 @@
   }
 
   PromiseMonitor& monitor_;
+  /** The same number at the address of each. */
+  const platform::ReservedPort peer_port_;
   std::list<Node> nodes_;
   std::size_t ended_while_starting_ = 0;
   /** The balancer that a flow's packets went to last. */
--- a/tests/platform/soak/soak_world.h
+++ b/tests/platform/soak/soak_world.h
@@ -30,9 +30,8 @@
         client_(kClientAddress, *random_, monitor_, sent_times_,
                 [this](const EndPacket& packet) { route(packet); }),
         routes_(store_, monitor_),
-        port_(platform::TestSocket().address().port),
-        client_socket_(kClientAddress, port_),
-        pool_(store_, zone_cut_, monitor_, sent_times_, port_,
+        client_socket_(kClientAddress, port_.number()),
+        pool_(store_, zone_cut_, monitor_, sent_times_, port_.number(),
               [this](milliseconds delay, std::function<void()> function) {
                 schedule_.after(delay, std::move(function));
               }) {
@@ -43,8 +42,8 @@
         pool_.start(service, zones_[static_cast<std::size_t>(count) % zones_.size()]);
       }
     }
-    nodes_ = std::make_unique<NodeFleet>(settings.nodes, zones_, port_, store_.address(), zone_cut_,
-                                         monitor_);
+    nodes_ = std::make_unique<NodeFleet>(settings.nodes, zones_, port_.number(), store_.address(),
+                                         zone_cut_, monitor_);
     faults_ = std::make_unique<FaultInjection>(FaultTargets{*nodes_, pool_, store_, routes_, links_,
                                                             zone_cut_, zones_, client_, monitor_,
                                                             schedule_, *random_});
@@ -204,7 +203,7 @@
   platform::StoreStandin store_;
   RoutePublisher routes_;
   LinkFaults links_;
-  const std::uint16_t port_;
+  const platform::ReservedPort port_;
   platform::TestSocket client_socket_;
   ServerPool pool_;
   std::unique_ptr<NodeFleet> nodes_;
