Reset no open flow for silence that overload explains

Cause: a full server says nothing, a balancer that is behind sees old packets, and flows that move to another balancer are answered there. Paths by which an open flow of a living server could be reset, each closed: - any packet with data of a flow whose back end looked dead, also of a flow that went on or had just come from another balancer: now only a flow that repeats itself often enough; - own losses alone, where balancers tell each other: now two must agree, and have had time to object; - one repetition of a flow, by the repetitions of others' flows; - reports of others while this node sees most servers silent; - mass suspicion: FalseSuspicions counts servers that looked silent and then answered, for each service; where they are many, or an injected ServicePressure says so, nothing is reset, and servers are passed over and reported by lasting silence only; - no other back end of the service answers; - a node that stood still: onBehind() voids what was seen until then. Servers that fail by turns get no new flow for a time after they answer, which doubles with each failure within a minute.

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -64,6 +64,11 @@
 void PacketNode::connectObservations() {
   placement_.setColdServerLimit(&cold_limit_);
   placement_.setLocality(&locality_);
+  silence_.setServiceOf([this](BackendId backend) {
+    const ConfigurationView* configuration = decider_.configuration();
+    const Backend* known = configuration == nullptr ? nullptr : configuration->backend(backend);
+    return known == nullptr ? ServiceId() : known->service;
+  });
   if (settings_.uses.pass_over_suspects) {
     const BackendSuspicion& own = silence_;
     const BackendSuspicion& shared = evidence_;
@@ -77,6 +82,12 @@
   }
 }
 
+void PacketNode::onBehind() {
+  silence_.onBehind();
+  evidence_.onBehind();
+  observer_.onBehind();
+}
+
 void PacketNode::start() {
   registry_.setLogsServers(false);
   follower_.start();
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -131,6 +131,15 @@
   SharedEvidence& sharedEvidence() { return evidence_; }
   const SharedEvidence& sharedEvidence() const { return evidence_; }
   EvidenceReporter& evidenceReporter() { return reporter_; }
+  /** Sets what tells of services under pressure, whose silence proves nothing; outlives this. */
+  void setPressure(const ServicePressure* pressure) { silence_.setPressure(pressure); }
+
+  /**
+   * To be called when this node was late: it stood still, or a packet has waited in its socket.
+   * What it saw up to now counts as nobody's silence. Cheap, also for each packet.
+   */
+  void onBehind();
+
   /** @return number of servers that look silent by what this node itself has seen. */
   std::size_t suspectsBySelf() const { return silence_.observations().size(); }
 
@@ -154,6 +163,7 @@
   bool viewIsFresh() const override;
   bool backendsAreSettled() const override;
   bool resetsDeadFlows() const override { return settings_.uses.reset_dead; }
+  bool asksOthers() const override { return settings_.uses.share_evidence; }
   std::optional<DeathEvidence> deathByOthers(BackendId backend,
                                              std::uint16_t repetitions) const override;
   ViewStamp viewStamp() const override;
--- a/src/flow/flow_observer.cc
+++ b/src/flow/flow_observer.cc
@@ -115,7 +115,10 @@
 
 bool FlowObserver::noteRepetition(ObservedFlow& flow) const {
   const MonotonicTime now = time_source_.monotonicTime();
-  const MonotonicTime last = std::max(flow.repeated_at, flow.progress_at);
+  if (flow.repeated_at <= behind_at_) {
+    flow.repetitions = 0;
+  }
+  const MonotonicTime last = std::max({flow.repeated_at, flow.progress_at, behind_at_});
   if (now - last < settings_.repetition_gap) {
     return false;
   }
--- a/src/flow/flow_observer.h
+++ b/src/flow/flow_observer.h
@@ -89,6 +89,12 @@
   /** The back end has started again: forgets its flows and its requests in flight. */
   void onRestart(BackendId backend);
 
+  /**
+   * Packets waited at this node before they were seen: repetitions up to now count no more, and
+   * the next one only after the gap.
+   */
+  void onBehind() { behind_at_ = time_source_.monotonicTime(); }
+
   /** Forgets a flow. */
   void forget(const FlowId& flow);
 
@@ -107,6 +113,7 @@
   const FlowObserverSettings settings_;
   const TimeSource& time_source_;
   std::vector<ObservedFlow> flows_;
+  MonotonicTime behind_at_;
   RequestsInFlight in_flight_;
 };
 
--- a/src/flow/packet_router.cc
+++ b/src/flow/packet_router.cc
@@ -109,8 +109,8 @@
 
 void PacketRouter::onForward(const FlowPacket& packet, const ForwardDecision& forward) {
   const Backend& backend = *decider_.configuration()->backend(forward.backend);
-  learn(packet, backend.id);
-  if (isSurelyGone(packet, backend)) {
+  const FlowObservation observation = learn(packet, backend.id);
+  if (isSurelyGone(packet, backend, observation)) {
     reset(packet, Reason::BackendGone);
     observer_.forget(packet.flow());
     return;
@@ -122,7 +122,7 @@
   }
 }
 
-void PacketRouter::learn(const FlowPacket& packet, BackendId backend) {
+FlowObservation PacketRouter::learn(const FlowPacket& packet, BackendId backend) {
   const FlowObservation observation = observer_.onContinuation(packet, backend);
   if (observation.handshake > Duration::zero()) {
     host_.onHandshake(observation.handshake);
@@ -135,21 +135,23 @@
   } else if (observation.evidence == FlowEvidence::Silence) {
     silence_.onRepetition(backend, packet.flow(), observation.repetitions);
   }
+  return observation;
 }
 
-bool PacketRouter::isSurelyGone(const FlowPacket& packet, const Backend& backend) {
-  if (packet.payload_bytes == 0 || !host_.resetsDeadFlows()) {
+bool PacketRouter::isSurelyGone(const FlowPacket& packet, const Backend& backend,
+                                const FlowObservation& observation) {
+  if (observation.evidence != FlowEvidence::Silence || !host_.resetsDeadFlows()) {
     return false;
   }
-  return silence_.isDead(backend.id) || isGoneByOthers(packet, backend);
+  const bool is_gone_by_self = !host_.asksOthers() &&
+                               observation.repetitions >= silence_.repetitionsOfDead() &&
+                               silence_.isDead(backend.id);
+  return is_gone_by_self || isGoneByOthers(packet, backend, observation.repetitions);
 }
 
-bool PacketRouter::isGoneByOthers(const FlowPacket& packet, const Backend& backend) {
-  const ObservedFlow* flow = observer_.find(packet.flow());
-  if (flow == nullptr || flow->repetitions == 0) {
-    return false;
-  }
-  const auto evidence = host_.deathByOthers(backend.id, flow->repetitions);
+bool PacketRouter::isGoneByOthers(const FlowPacket& packet, const Backend& backend,
+                                  std::uint16_t repetitions) {
+  const auto evidence = host_.deathByOthers(backend.id, repetitions);
   if (!evidence) {
     return false;
   }
@@ -159,7 +161,7 @@
               {"backend", backend.name},
               {"backend_id", backend.id.value()},
               {"scope", evidence->is_whole_zone ? "zone" : "server"},
-              {"repetitions", static_cast<std::uint32_t>(flow->repetitions)},
+              {"repetitions", std::uint32_t{repetitions}},
               {"reporters", static_cast<std::uint64_t>(evidence->reporters)},
               {"silent_flows", static_cast<std::uint64_t>(evidence->flows)},
               {"silent_ms", toMilliseconds(evidence->silent_for)}});
--- a/src/flow/packet_router.h
+++ b/src/flow/packet_router.h
@@ -47,6 +47,9 @@
   /** @return true where open flows of a back end that is surely dead are to be reset. */
   virtual bool resetsDeadFlows() const = 0;
 
+  /** @return true where open flows are reset only by what several balancers have seen. */
+  virtual bool asksOthers() const { return false; }
+
   /**
    * @param repetitions of a flow of the back end since its last progress.
    * @return why the back end is surely dead by what others have seen, or nothing.
@@ -91,12 +94,18 @@
   bool isCertain(Reason reason) const;
   void refuseOpening(const FlowPacket& packet, const PlacementRefusal& refusal);
   void reset(const FlowPacket& packet, Reason reason);
-  void learn(const FlowPacket& packet, BackendId backend);
+  /** @return what the packet shows. */
+  FlowObservation learn(const FlowPacket& packet, BackendId backend);
 
-  /** @return true where the back end of an open flow surely does not answer any more. */
-  bool isSurelyGone(const FlowPacket& packet, const Backend& backend);
+  /**
+   * @param observation of the packet: only a flow that repeats itself is reset, since one that goes
+   * on may be answered by way of another balancer.
+   * @return true where the back end of an open flow surely does not answer any more.
+   */
+  bool isSurelyGone(const FlowPacket& packet, const Backend& backend,
+                    const FlowObservation& observation);
   /** The same by what others have seen, which is logged. */
-  bool isGoneByOthers(const FlowPacket& packet, const Backend& backend);
+  bool isGoneByOthers(const FlowPacket& packet, const Backend& backend, std::uint16_t repetitions);
 
   FlowDecider& decider_;
   SilenceDetector& silence_;
--- a/src/flow/shared_evidence.cc
+++ b/src/flow/shared_evidence.cc
@@ -68,8 +68,7 @@
 void SharedEvidence::onDigest(const EvidenceDigest& digest) {
   const MonotonicTime now = time_source_.monotonicTime();
   for (const ServerLife& alive : digest.alive) {
-    MonotonicTime& life_at = told_life_[alive.backend];
-    life_at = std::max(life_at, fromWireAge(now, alive.age_ms));
+    noteLife(alive.backend, fromWireAge(now, alive.age_ms));
     if (const auto zone = zoneOf(alive.backend)) {
       objections_[*zone] = std::max(objections_[*zone], fromWireAge(now, alive.age_ms));
     }
@@ -77,8 +76,7 @@
   for (const SummedSilence& summed : digest.silent) {
     const ServerSilence& seen = summed.seen;
     if (seen.life_age_ms != kNeverMilliseconds) {
-      MonotonicTime& life_at = told_life_[seen.backend];
-      life_at = std::max(life_at, fromWireAge(now, seen.life_age_ms));
+      noteLife(seen.backend, fromWireAge(now, seen.life_age_ms));
     }
     const auto [entry, is_new] = told_.try_emplace(seen.backend);
     ToldSilence& told = entry->second;
@@ -101,6 +99,23 @@
   refresh();
 }
 
+void SharedEvidence::noteLife(BackendId backend, MonotonicTime life_at) {
+  const auto told = told_.find(backend);
+  const auto known = backends_.find(backend);
+  const bool was_unanswered = told != told_.end() && isUnanswered(backend, told->second);
+  MonotonicTime& told_life = told_life_[backend];
+  told_life = std::max(told_life, life_at);
+  if (was_unanswered && known != backends_.end() && life_at > told->second.attempt_at) {
+    false_suspicions_.add(known->second.service, backend);
+  }
+}
+
+bool SharedEvidence::isUnderPressure(ServiceId service) const {
+  const auto size = service_sizes_.find(service);
+  return own_.isUnderPressure(service) ||
+         (size != service_sizes_.end() && false_suspicions_.areMany(service, size->second));
+}
+
 void SharedEvidence::refresh() {
   forgetOld();
   believe();
@@ -230,7 +245,14 @@
 }
 
 bool SharedEvidence::isSuspect(BackendId backend) const {
-  return own_.isSuspect(backend) || believed_.contains(backend);
+  if (own_.isSuspect(backend)) {
+    return true;
+  }
+  if (!believed_.contains(backend)) {
+    return false;
+  }
+  const Duration silent_for = time_source_.monotonicTime() - lifeOf(backend);
+  return silent_for >= settings_.dead_after || !isUnderPressure(backends_.at(backend).service);
 }
 
 bool SharedEvidence::isOutOfReach(BackendId backend) const {
@@ -243,7 +265,8 @@
 
 std::optional<DeathEvidence> SharedEvidence::deathOf(BackendId backend,
                                                      std::uint16_t repetitions) const {
-  if (repetitions == 0) {
+  const auto known = backends_.find(backend);
+  if (repetitions == 0 || known == backends_.end() || isUnderPressure(known->second.service)) {
     return std::nullopt;
   }
   const auto by_zone = deathOfZone(backend, repetitions);
@@ -259,8 +282,9 @@
   }
   const MonotonicTime now = time_source_.monotonicTime();
   const MonotonicTime life_at = lastLifeIn(*zone);
-  const Duration silent_for = now - life_at;
-  if (silent_for < settings_.dead_after || now - out->second < settings_.objection_time) {
+  const Duration silent_for = now - std::max(life_at, behind_at_);
+  const MonotonicTime told_since = std::max(out->second, behind_at_);
+  if (silent_for < settings_.dead_after || now - told_since < settings_.objection_time) {
     return std::nullopt;
   }
   const bool has_shown_life = life_at != MonotonicTime();
@@ -282,10 +306,12 @@
   const MonotonicTime now = time_source_.monotonicTime();
   const ToldSilence& told = told_.at(backend);
   const MonotonicTime life_at = lifeOf(backend);
-  const bool is_certain = std::max(told.repetitions, repetitions) >= repetitionsNeeded() &&
-                          told.flows >= settings_.flows_of_dead &&
-                          now - life_at >= settings_.dead_after &&
-                          now - told.first_told_at >= settings_.objection_time;
+  // By the flow's own repetitions: one that others answer must not be reset for their losses.
+  const bool is_certain =
+      repetitions >= repetitionsNeeded() && told.flows >= settings_.flows_of_dead &&
+      now - std::max(life_at, behind_at_) >= settings_.dead_after &&
+      now - std::max(told.first_told_at, behind_at_) >= settings_.objection_time &&
+      !own_.manyLookSilent();
   if (!is_certain) {
     return std::nullopt;
   }
--- a/src/flow/shared_evidence.h
+++ b/src/flow/shared_evidence.h
@@ -31,6 +31,7 @@
   Duration zone_silence = milliseconds(300);
   /** Time for which another balancer's report that a zone answers keeps it from being suspect. */
   Duration objection_lifetime = seconds(1);
+  FalseSuspicionSettings false_suspicions;
 };
 
 /** What other balancers have reported of a silent back end. */
@@ -72,6 +73,9 @@
   /** Weighs the evidence anew; to be called after each digest and several times a second. */
   void refresh();
 
+  /** This node itself was late: what others told counts only once they had time to object. */
+  void onBehind() { behind_at_ = time_source_.monotonicTime(); }
+
   bool isSuspect(BackendId backend) const override;
   bool isOutOfReach(BackendId backend) const override;
 
@@ -111,6 +115,10 @@
   bool isFresh(MonotonicTime attempt_at) const;
   /** @return true where nobody has got an answer since the last unanswered attempt. */
   bool isUnanswered(BackendId backend, const ToldSilence& told) const;
+  /** @return true where silence of the service's back ends proves nothing. */
+  bool isUnderPressure(ServiceId service) const;
+  /** Takes signs of life that others report. */
+  void noteLife(BackendId backend, MonotonicTime life_at);
   void forgetOld();
   /** Decides which servers are passed over because of reports, and logs those that are new. */
   void believe();
@@ -136,6 +144,9 @@
   /** Last signs of life that others reported. */
   std::unordered_map<BackendId, MonotonicTime> told_life_;
   std::unordered_map<ZoneId, MonotonicTime> objections_;
+  /** Back ends that several had reported and that then answered somebody. */
+  FalseSuspicions false_suspicions_{settings_.false_suspicions, time_source_};
+  MonotonicTime behind_at_;
   std::uint16_t told_survived_ = 0;
   MonotonicTime told_survived_at_;
   std::set<BackendId> believed_;
--- a/src/flow/silence_detector.h
+++ b/src/flow/silence_detector.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <functional>
 #include <unordered_map>
 #include <vector>
 
 #include "common/event_log.h"
 #include "common/ids.h"
 #include "common/time_source.h"
+#include "flow/false_suspicions.h"
 #include "flow/placement_engine.h"
+#include "flow/service_pressure.h"
 
 namespace lugfork {
 
@@ -31,6 +34,25 @@
    * the fault is this node's own (its links, or packets that waited), and none is taken for dead.
    */
   double max_silent_share = 0.34;
+  /**
+   * Other back ends of its service that must have answered lately before one is taken for dead:
+   * without them nothing tells a dead server from callers or a path that are at fault.
+   */
+  std::size_t answering_of_service = 2;
+  /** Unanswered attempts that make a back end suspect where its service is under pressure. */
+  std::size_t attempts_under_pressure = 2;
+  FalseSuspicionSettings false_suspicions;
+  /** A silence that ends after so long was a failure: a queue's wait or a lost packet is shorter.
+   */
+  Duration failure_after = milliseconds(300);
+  /** Failures further back than this don't add up: a server that fell so seldom is trusted. */
+  Duration relapse_memory = seconds(60);
+  /** From this failure on a back end gets no new flow for a time after it answers again. */
+  std::size_t relapses_to_distrust = 2;
+  /** That time at first, doubled with each further one: what callers of a new flow wait at most. */
+  Duration distrust = milliseconds(1400);
+  /** Longest such time: a server that is well again is missed for no longer. */
+  Duration max_distrust = seconds(12);
 };
 
 /** What a node itself has seen of a back end that does not answer it. */
@@ -49,10 +71,14 @@
 /**
  * Learns which back ends have fallen silent from what their callers send, long before the platform
  * reports it. Suspected back ends get no new flows; for dead ones open flows are reset, so that
- * callers can try elsewhere. Any sign of life ends both.
+ * callers can try elsewhere. Any sign of life ends both, but for back ends that fail by turns: they
+ * get no new flow for some time after it.
  */
 class SilenceDetector : public BackendSuspicion {
  public:
+  /** @return the service of a back end, for which pressure is judged. */
+  using ServiceOf = std::function<ServiceId(BackendId)>;
+
   SilenceDetector(SilenceSettings settings, const TimeSource& time_source, EventLog& log)
       : settings_(settings), time_source_(time_source), log_(log) {}
 
@@ -78,6 +104,27 @@
   /** @return time since the last sign of life; since the first packet where there was none. */
   Duration silentFor(BackendId backend) const;
 
+  /** Sets what tells services; without it all back ends count as of one. */
+  void setServiceOf(ServiceOf service_of) { service_of_ = std::move(service_of); }
+
+  /** Sets what else tells of pressure; nullptr for nothing. */
+  void setPressure(const ServicePressure* pressure) { pressure_ = pressure; }
+
+  /**
+   * @return true where silence proves nothing: the service's back ends are late. By what is
+   * injected or by back ends that looked silent and answered.
+   */
+  bool isUnderPressure(ServiceId service) const;
+
+  /**
+   * This node itself was late: packets waited, so that what they showed was old. Nothing that was
+   * seen up to now counts as silence any more. Cheap: may be called for each late packet.
+   */
+  void onBehind() { behind_at_ = time_source_.monotonicTime(); }
+
+  /** @return true where many back ends look silent to this node at once. */
+  bool manyLookSilent() const;
+
   /** Forgets what was seen of one back end. */
   void forget(BackendId backend) { records_.erase(backend); }
 
@@ -107,7 +154,17 @@
     std::uint16_t repetitions = 0;
   };
 
+  /** How often a back end has failed; outlives signs of life. */
+  struct Failures {
+    std::size_t count = 0;
+    MonotonicTime last_at;
+    /** No new flow before then. */
+    MonotonicTime distrusted_until;
+  };
+
   struct Record {
+    ServiceId service;
+    Failures failures;
     /** Last sign of life; the first packet where there was none. */
     MonotonicTime life_at;
     bool has_shown_life = false;
@@ -115,6 +172,8 @@
     MonotonicTime opening_at;
     /** Last repetition since the last sign of life; unset for none. */
     MonotonicTime repeated_at;
+    /** First unanswered attempt since the last sign of life; unset for none. */
+    MonotonicTime attempt_at;
     std::vector<SilentFlow> silent_flows;
     /** What was logged since the last sign of life. */
     bool suspicion_told = false;
@@ -125,8 +184,22 @@
   const Record* find(BackendId backend) const;
   void noteSilentFlow(BackendId backend, const FlowId& flow, std::uint16_t repetitions);
   bool looksDead(const Record& record) const;
-  /** @return true where many back ends look silent to this node at once. */
-  bool manyLookSilent() const;
+  bool isDead(const Record& record) const;
+  /** @return true where enough of the service's other back ends answer. */
+  bool othersAnswer(const Record& record) const;
+  /** @return the time from which silence of the back end counts. */
+  MonotonicTime silentSince(const Record& record) const {
+    return std::max(record.life_at, behind_at_);
+  }
+  bool counts(const SilentFlow& silent) const;
+  std::size_t countedFlows(const Record& record) const;
+  /** @return true where the silence is more than a queue's, for services under pressure. */
+  bool isSilentForLong(const Record& record) const;
+  /** Notes an attempt that is not answered yet. */
+  void noteAttempt(Record& record) const;
+  void noteFalseSuspicion(BackendId backend, ServiceId service);
+  /** Counts a failure that has just ended. */
+  void noteFailure(Failures& failures) const;
   /** Logs a change of what is believed of the back end, once until its next sign of life. */
   void tellBelief(BackendId backend, Record& record, std::string_view cause);
   bool hasUnansweredOpening(const Record& record) const;
@@ -135,7 +208,18 @@
   const SilenceSettings settings_;
   const TimeSource& time_source_;
   EventLog& log_;
+  ServiceOf service_of_;
+  const ServicePressure* pressure_ = nullptr;
   std::unordered_map<BackendId, Record> records_;
+  FalseSuspicions false_suspicions_{settings_.false_suspicions, time_source_};
+  /** Back ends in use of services with false suspicions, and when they were counted. */
+  struct InUse {
+    std::size_t backends = 0;
+    MonotonicTime counted_at;
+  };
+  std::unordered_map<ServiceId, InUse> in_use_;
+  /** What was seen up to then is too old to count. */
+  MonotonicTime behind_at_;
   /** Most repetitions after which a back end still answered, and when that was last seen. */
   std::uint16_t survived_repetitions_ = 0;
   MonotonicTime survived_at_;
--- /dev/null
+++ b/tests/flow/overload_replay.h
@@ -0,0 +1,412 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+
+#include "discovery/evidence_collector.h"
+#include "flow/evidence_fixture.h"
+#include "flow/packet_router.h"
+
+/** Callers that keep flows open, balancers of one zone that tell each other, servers with queues.
+ */
+namespace lugfork {
+
+/** What keeps a balancer from taking a full server for a dead one. */
+struct Ways {
+  /** Open flows are reset only by what several balancers have seen. */
+  bool asks_others = true;
+  /** Nothing is reset while many servers look silent and then answer. */
+  bool has_gate = true;
+  /** A balancer that stood still is told so. */
+  bool tells_behind = true;
+};
+
+inline FalseSuspicionSettings gateOf(const Ways& ways) {
+  FalseSuspicionSettings settings;
+  settings.least = ways.has_gate ? settings.least : std::numeric_limits<std::size_t>::max();
+  return settings;
+}
+
+/** A balancer's data path; what it sends goes to the callbacks. */
+struct ReplayNode : PacketSender, PacketRouterHost {
+  using Forward = std::function<void(BackendId, CompactToken)>;
+  using Reset = std::function<void(const FlowPacket&)>;
+
+  ReplayNode(const Ways& chosen, ManualTimeSource& clock, RandomGenerator& random,
+             const ConfigurationViewPtr& view, Forward on_forward, Reset on_reset)
+      : ways(chosen),
+        forward(std::move(on_forward)),
+        reset(std::move(on_reset)),
+        silence({.false_suspicions = gateOf(chosen)}, clock, log),
+        shared({.false_suspicions = gateOf(chosen)}, silence, clock, log),
+        reporter(EvidenceReporterSettings(), "lac", silence, shared, clock),
+        loads(LoadEstimateSettings(), clock),
+        placement(PlacementSettings(), makePlacementPolicy("bounded_rendezvous"), loads, clock,
+                  random),
+        decider(FlowDeciderSettings(), clock, placement, *this),
+        observer(FlowObserverSettings(), clock),
+        router(decider, silence, observer, tokens, *this, *this, log) {
+    silence.setServiceOf([](BackendId) { return ServiceId(1); });
+    ConfigurationChanges all;
+    all.services = true;
+    for (const Backend& backend : view->document().backends) {
+      all.backends.push_back(&backend);
+    }
+    shared.onConfigurationChanged(all, *view);
+    reporter.setConfiguration(*view);
+    decider.setConfiguration(view);
+    decider.setCompactTokens(&tokens);
+    const BackendSuspicion& by_self = silence;
+    const BackendSuspicion& by_all = shared;
+    placement.setSuspicion(ways.asks_others ? &by_all : &by_self);
+    placement.setRequestsInFlight(&observer.requestsInFlight());
+  }
+
+  void onBehind() {
+    if (ways.tells_behind) {
+      silence.onBehind();
+      shared.onBehind();
+      observer.onBehind();
+    }
+  }
+
+  void forwardPacket(const Backend& backend, CompactToken token) override {
+    forward(backend.id, token);
+  }
+  void resetCaller(const FlowPacket& packet) override { reset(packet); }
+  Reason placementBlockedBy() const override { return Reason::None; }
+  void onNewerConfigurationSeen(ConfigVersion) override {}
+  void onBackendDraining(BackendId) override {}
+  bool viewIsFresh() const override { return true; }
+  bool backendsAreSettled() const override { return true; }
+  bool resetsDeadFlows() const override { return true; }
+  bool asksOthers() const override { return ways.asks_others; }
+  ViewStamp viewStamp() const override { return {}; }
+  void onHandshake(Duration) override {}
+  void onResponse(BackendId, Duration) override {}
+  std::optional<DeathEvidence> deathByOthers(BackendId backend,
+                                             std::uint16_t repetitions) const override {
+    return ways.asks_others ? shared.deathOf(backend, repetitions) : std::nullopt;
+  }
+
+  const Ways ways;
+  const Forward forward;
+  const Reset reset;
+  NullEventLog log;
+  SilenceDetector silence;
+  SharedEvidence shared;
+  EvidenceReporter reporter;
+  BackendLoadTable loads;
+  PlacementEngine placement;
+  FlowDecider decider;
+  FlowObserver observer;
+  CompactTokenCodec tokens{CompactTokenKey{9, 9, 9}};
+  PacketRouter router;
+};
+
+class OverloadReplay {
+ public:
+  static constexpr std::uint32_t kNodes = 12;
+  static constexpr std::uint32_t kServers = 3 * kServersInZone;
+  static constexpr std::size_t kSlots = 2;
+  static constexpr std::size_t kQueue = 8;
+  static constexpr Duration kWork = milliseconds(50);
+  static constexpr Duration kThink = milliseconds(300);
+  /** Nearly all flows go through another balancer after this long. */
+  static constexpr Duration kEra = seconds(3);
+  /** When callers beyond the usual begin. */
+  static constexpr Duration kRush = seconds(4);
+  static constexpr Duration kStall = milliseconds(700);
+  /** Callers give an opening up after this long, and a request of an open flow. */
+  static constexpr Duration kOpeningPatience = milliseconds(1400);
+  static constexpr Duration kRequestPatience = seconds(3);
+
+  struct Result {
+    int answered = 0;
+    /** Resets of open flows whose server lives. */
+    int broken = 0;
+    /** Resets of open flows of the dead server. */
+    int freed = 0;
+    /** Openings at the dead server after it died. */
+    int lost_openings = 0;
+  };
+
+  /** Three balancers stand still for 0.7 s of each 2 s; their packets wait. */
+  void stallSome() { stalled_nodes_ = 3; }
+
+  /**
+   * @param load requests offered, as a multiple of what the servers' slots do.
+   * @param usual of them, what is offered from the start; the rest begins together, later.
+   */
+  OverloadReplay(std::uint64_t seed, const Ways& ways, double load, double usual = 100)
+      : random_(makeSeededRandom(seed)),
+        view_(viewOf(threeZones())),
+        collector_(EvidenceCollectorSettings(), "lac", time_, log_,
+                   [this](Endpoint to, const EvidenceDigest& digest) {
+                     nodes_.at(to.port)->shared.onDigest(digest);
+                   }) {
+    for (std::uint32_t index = 0; index < kNodes; ++index) {
+      nodes_.push_back(std::make_unique<ReplayNode>(
+          ways, time_, *random_, view_,
+          [this](BackendId backend, CompactToken token) { onForward(backend, token); },
+          [this](const FlowPacket& packet) { onReset(packet); }));
+    }
+    const double requests_a_second = load * kServers * kSlots * seconds(1) / kWork;
+    const double cycle = std::chrono::duration<double>(kWork + kThink).count();
+    flows_.resize(static_cast<std::size_t>(requests_a_second * cycle));
+    for (std::size_t index = 0; index < flows_.size(); ++index) {
+      const bool is_usual = load * static_cast<double>(index) < usual * flows_.size();
+      after(scaled(kThink) + (is_usual ? Duration::zero() : kRush),
+            [this, &flow = flows_[index]] { open(flow); });
+    }
+    exchangeEvidence();
+  }
+
+  void kill(BackendId server, Duration when) {
+    after(when, [this, server] { dead_ = server; });
+  }
+
+  Result run(Duration duration) {
+    const MonotonicTime end = time_.monotonicTime() + duration;
+    while (!events_.empty() && events_.begin()->first <= end) {
+      const auto event = events_.extract(events_.begin());
+      time_.elapsed = event.key().time_since_epoch();
+      event.mapped()();
+    }
+    return result_;
+  }
+
+ private:
+  struct Flow {
+    Endpoint caller;
+    CompactToken token;
+    BackendId server;
+    bool open = false;
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledged = 0;
+    /** Number of what the caller waits for; timers of earlier ones do nothing. */
+    int attempt = 0;
+    /** What the server has taken. */
+    int taken = 0;
+  };
+
+  struct Server {
+    std::array<MonotonicTime, kSlots> free_at{};
+    std::size_t present = 0;
+  };
+
+  void after(Duration delay, std::function<void()> event) {
+    events_.emplace(time_.monotonicTime() + delay, std::move(event));
+  }
+
+  Duration scaled(Duration mean) {
+    return std::chrono::duration_cast<Duration>(mean * (0.5 + random_->unit()));
+  }
+
+  FlowPacket packetOf(const Flow& flow) const {
+    FlowPacket packet;
+    packet.caller = flow.caller;
+    packet.service = kListen;
+    packet.token = flow.token;
+    packet.sequence = flow.sequence;
+    packet.acknowledged = flow.acknowledged;
+    return packet;
+  }
+
+  void send(Flow& flow, const FlowPacket& packet) {
+    const auto era = static_cast<std::uint64_t>(time_.elapsed / kEra);
+    const std::uint64_t hash = (flow.caller.port + era * 7919) * 0x9e3779b97f4a7c15ULL;
+    const std::size_t node = (hash >> 32) % kNodes;
+    const Duration wait = waitAt(node);
+    if (wait == Duration::zero()) {
+      deliver(node, flow, packet);
+      return;
+    }
+    after(wait, [this, node, &flow, packet, was_stalled_at = time_.monotonicTime()] {
+      if (woken_at_[node] < was_stalled_at) {
+        woken_at_[node] = time_.monotonicTime();
+        nodes_[node]->onBehind();
+      }
+      deliver(node, flow, packet);
+    });
+  }
+
+  /** @return time until the node goes on. */
+  Duration waitAt(std::size_t node) const {
+    const Duration phase = (time_.elapsed + node * milliseconds(300)) % seconds(2);
+    const bool stands = node < stalled_nodes_ && phase < kStall;
+    return stands ? kStall - phase : Duration::zero();
+  }
+
+  void deliver(std::size_t node, Flow& flow, const FlowPacket& packet) {
+    at_hand_ = &flow;
+    caller_at_hand_ = packet.caller;
+    asks_ = packet.opens || packet.payload_bytes > 0;
+    nodes_[node]->router.onPacket(packet);
+  }
+
+  /** Sends now, then after 0.2, 0.6 and 1.4 s until it is answered or given up. */
+  void attempt(Flow& flow, Duration patience,
+               const std::function<void(std::uint32_t copy)>& send_copy) {
+    const int attempt = ++flow.attempt;
+    const auto unless_answered = [this, &flow, attempt](Duration delay, auto event) {
+      after(delay, [&flow, attempt, event] {
+        if (flow.attempt == attempt) {
+          event();
+        }
+      });
+    };
+    unless_answered(patience, [this, &flow] { giveUp(flow); });
+    std::uint32_t copy = 0;
+    for (const Duration delay : {milliseconds(200), milliseconds(600), milliseconds(1400)}) {
+      ++copy;
+      if (delay < patience) {
+        unless_answered(delay, [send_copy, copy] { send_copy(copy); });
+      }
+    }
+    send_copy(0);
+  }
+
+  void open(Flow& flow) {
+    const int attempts = flow.attempt;
+    flow = Flow();
+    flow.attempt = attempts;
+    flow.caller = {kCaller.address, ++last_port_};
+    attempt(flow, kOpeningPatience, [this, &flow](std::uint32_t copy) {
+      FlowPacket packet = packetOf(flow);
+      packet.opens = true;
+      packet.acknowledged = copy;
+      send(flow, packet);
+    });
+  }
+
+  void request(Flow& flow) {
+    attempt(flow, kRequestPatience, [this, &flow](std::uint32_t) {
+      FlowPacket packet = packetOf(flow);
+      packet.payload_bytes = 100;
+      send(flow, packet);
+    });
+  }
+
+  void giveUp(Flow& flow) {
+    if (flow.open) {
+      FlowPacket packet = packetOf(flow);
+      packet.aborts = true;
+      send(flow, packet);
+    }
+    open(flow);
+  }
+
+  void onReset(const FlowPacket& packet) {
+    Flow& flow = *at_hand_;
+    if (packet.caller != flow.caller) {
+      return;
+    }
+    if (!packet.opens) {
+      (flow.server == dead_ ? result_.freed : result_.broken) += 1;
+    }
+    ++flow.attempt;
+    after(milliseconds(20), [this, &flow] { open(flow); });
+  }
+
+  void onForward(BackendId backend, CompactToken token) {
+    Flow& flow = *at_hand_;
+    if (caller_at_hand_ != flow.caller) {
+      return;
+    }
+    Server& server = servers_[backend];
+    if (backend == dead_) {
+      result_.lost_openings += flow.open ? 0 : 1;
+      return;
+    }
+    // A full server says nothing; an opening takes no slot.
+    if (!asks_ || server.present >= kSlots + kQueue) {
+      return;
+    }
+    if (!flow.open) {
+      flow.open = true;
+      flow.token = token;
+      flow.server = backend;
+      flow.acknowledged = 1;
+      ++flow.attempt;
+      after(milliseconds(1), [this, &flow, attempt = flow.attempt] {
+        if (flow.attempt == attempt) {
+          request(flow);
+        }
+      });
+      return;
+    }
+    if (flow.taken != flow.attempt) {
+      work(flow, server);
+    }
+  }
+
+  void work(Flow& flow, Server& server) {
+    flow.taken = flow.attempt;
+    MonotonicTime& slot = *std::min_element(server.free_at.begin(), server.free_at.end());
+    slot = std::max(slot, time_.monotonicTime()) + scaled(kWork);
+    ++server.present;
+    after(slot - time_.monotonicTime(), [this, &flow, &server, attempt = flow.attempt] {
+      --server.present;
+      if (flow.attempt == attempt && flow.server != dead_) {
+        onAnswer(flow);
+      }
+    });
+  }
+
+  void onAnswer(Flow& flow) {
+    ++result_.answered;
+    ++flow.attempt;
+    flow.sequence += 100;
+    flow.acknowledged += 500;
+    send(flow, packetOf(flow));
+    after(scaled(kThink), [this, &flow, attempt = flow.attempt] {
+      if (flow.attempt == attempt) {
+        request(flow);
+      }
+    });
+  }
+
+  /** The first node sums for its zone; others report every 100 ms. */
+  void exchangeEvidence() {
+    for (std::uint16_t index = 0; index < kNodes; ++index) {
+      if (const auto report = nodes_[index]->reporter.next()) {
+        if (index == 0) {
+          collector_.onOwnReport(*report);
+        } else {
+          collector_.onReport(*report, {kCaller.address, index});
+        }
+      }
+    }
+    collector_.tell();
+    nodes_[0]->shared.onDigest(collector_.digest());
+    for (const auto& node : nodes_) {
+      node->shared.refresh();
+    }
+    after(milliseconds(100), [this] { exchangeEvidence(); });
+  }
+
+  ManualTimeSource time_;
+  NullEventLog log_;
+  std::unique_ptr<RandomGenerator> random_;
+  ConfigurationViewPtr view_;
+  std::multimap<MonotonicTime, std::function<void()>> events_;
+  std::vector<std::unique_ptr<ReplayNode>> nodes_;
+  EvidenceCollector collector_;
+  std::map<BackendId, Server> servers_;
+  std::vector<Flow> flows_;
+  std::size_t stalled_nodes_ = 0;
+  std::array<MonotonicTime, kNodes> woken_at_{};
+  Flow* at_hand_ = nullptr;
+  /** Of the packet at hand; its flow may have been given up meanwhile. */
+  Endpoint caller_at_hand_;
+  /** The packet at hand wants an answer. */
+  bool asks_ = false;
+  std::uint16_t last_port_ = 0;
+  BackendId dead_;
+  Result result_;
+};
+
+}  // namespace lugfork
--- a/tests/flow/packet_router_test.cc
+++ b/tests/flow/packet_router_test.cc
@@ -35,6 +35,7 @@
   bool viewIsFresh() const override { return fresh; }
   bool backendsAreSettled() const override { return settled; }
   bool resetsDeadFlows() const override { return true; }
+  bool asksOthers() const override { return asks_others; }
   ViewStamp viewStamp() const override { return {12, milliseconds(30)}; }
   void onHandshake(Duration duration) override { handshakes.push_back(duration); }
   void onResponse(BackendId, Duration duration) override { responses.push_back(duration); }
@@ -87,6 +88,7 @@
   Reason blocked_by = Reason::None;
   bool fresh = true;
   bool settled = true;
+  bool asks_others = false;
   BackendId dead_by_others;
   std::vector<Sent> sent;
   std::vector<FlowPacket> resets;
@@ -270,6 +272,77 @@
   CHECK(by_reason[static_cast<std::size_t>(Reason::BackendGone)] == expected);
 }
 
+TEST_CASE("a flow that goes on is not reset for what other flows have lost", "[packet_router]") {
+  PacketHarness harness;
+  harness.setConfiguration(manyBackends());
+  BackendId silent;
+  const auto ports = openAtOne(harness, 4, silent);
+  REQUIRE(ports.size() == 4);
+  const auto send = [&](std::uint16_t port, std::uint32_t sequence, std::uint32_t acknowledged) {
+    const CompactToken token = harness.tokens.encode(harness.packet(port).flow(), silent);
+    harness.data(port, token, sequence, acknowledged);
+  };
+  for (const int wait_ms : {200, 400}) {
+    harness.time.elapsed += milliseconds(wait_ms);
+    for (std::size_t index = 0; index < 3; ++index) {
+      send(ports[index], 1001, 1);
+    }
+  }
+  REQUIRE(harness.silence.isDead(silent));
+  harness.resets.clear();
+  SECTION("its next request") {
+    send(ports[3], 1101, 1);
+  }
+  SECTION("its first repetition") {
+    send(ports[3], 1001, 1);
+  }
+  SECTION("a flow that came through another balancer before") {
+    send(40000, 7001, 9001);
+    harness.time.elapsed += milliseconds(200);
+    send(40000, 7001, 9001);
+  }
+  CHECK(harness.resets.empty());
+}
+
+TEST_CASE("where balancers ask each other, none resets a flow by its own losses alone",
+          "[packet_router]") {
+  PacketHarness harness;
+  harness.setConfiguration(manyBackends());
+  harness.asks_others = true;
+  BackendId silent;
+  const auto ports = openAtOne(harness, 3, silent);
+  for (const int wait_ms : {200, 400, 800}) {
+    harness.time.elapsed += milliseconds(wait_ms);
+    for (const std::uint16_t port : ports) {
+      harness.data(port, harness.tokens.encode(harness.packet(port).flow(), silent), 1001, 1);
+    }
+  }
+  CHECK(harness.resets.empty());
+  harness.dead_by_others = silent;
+  harness.time.elapsed += milliseconds(400);
+  harness.data(ports[0], harness.tokens.encode(harness.packet(ports[0]).flow(), silent), 1001, 1);
+  CHECK(harness.resets.size() == 1);
+}
+
+TEST_CASE("a flow's repetitions before its balancer was behind do not count", "[packet_router]") {
+  PacketHarness harness;
+  harness.setConfiguration(manyBackends());
+  const auto opened = harness.open(5000);
+  harness.data(5000, opened.token, 1001, 1);
+  harness.dead_by_others = opened.backend;
+  harness.time.elapsed += milliseconds(200);
+  harness.data(5000, opened.token, 1001, 1);
+  harness.time.elapsed += milliseconds(400);
+  harness.observer.onBehind();
+  harness.data(5000, opened.token, 1001, 1);
+  harness.time.elapsed += milliseconds(160);
+  harness.data(5000, opened.token, 1001, 1);
+  CHECK(harness.resets.empty());
+  harness.time.elapsed += milliseconds(400);
+  harness.data(5000, opened.token, 1001, 1);
+  CHECK(harness.resets.size() == 1);
+}
+
 /** A caller sends a window again whose packets were lost on their way here, not at the back end. */
 TEST_CASE("a window that is sent again at once proves nothing", "[packet_router]") {
   PacketHarness harness;
--- a/tests/flow/shared_evidence_test.cc
+++ b/tests/flow/shared_evidence_test.cc
@@ -210,6 +210,107 @@
   CHECK_FALSE(harness.isDead(5));
 }
 
+TEST_CASE("a flow that has repeated itself once is not reset for the repetitions of others",
+          "[shared_evidence]") {
+  Harness harness;
+  harness.node.isAnswered(5);
+  harness.advance(600);
+  harness.node.isTold({5}, 3, 9, 4);
+  harness.advance(300);
+  CHECK_FALSE(harness.isDead(5, 1));
+  CHECK(harness.isDead(5, 2));
+}
+
+TEST_CASE("a node that stood still lets others object before it resets a flow",
+          "[shared_evidence]") {
+  Harness harness;
+  harness.node.isAnswered(5);
+  harness.advance(600);
+  harness.node.isTold({5}, 3, 9, 4);
+  harness.advance(600);
+  harness.node.shared.onBehind();
+  CHECK_FALSE(harness.isDead(5));
+  harness.advance(300);
+  CHECK_FALSE(harness.isDead(5));
+  harness.advance(200);
+  CHECK(harness.isDead(5));
+}
+
+TEST_CASE("where servers that others reported silent answer, none of their service is dead",
+          "[shared_evidence]") {
+  Harness harness;
+  harness.node.isAnswered(5);
+  harness.advance(300);
+  const std::uint32_t answering = GENERATE(5, 6);
+  for (std::uint32_t server = 21; server < 21 + answering; ++server) {
+    harness.node.isTold({server}, 2, 1, 1, 100);
+    harness.node.isToldLife(server, 50);
+  }
+  harness.advance(300);
+  harness.node.isTold({5}, 2, 3, 2);
+  harness.advance(300);
+  CHECK(harness.isDead(5) == (answering == 5));
+  SECTION("until that is long past") {
+    harness.advance(4600);
+    harness.node.isTold({5}, 2, 3, 2);
+    harness.advance(300);
+    CHECK(harness.isDead(5));
+  }
+}
+
+TEST_CASE("a node to which many servers are silent takes none for dead by others' word",
+          "[shared_evidence]") {
+  Harness harness;
+  for (std::uint32_t server = 1; server <= 10; ++server) {
+    harness.node.isAnswered(server);
+  }
+  harness.advance(500);
+  const std::uint32_t silent = GENERATE(3, 4);
+  for (std::uint32_t server = 2; server < 2 + silent; ++server) {
+    harness.node.loses(server);
+  }
+  harness.node.isTold({5}, 2, 3, 2);
+  harness.advance(300);
+  CHECK(harness.isDead(5) == (silent == 3));
+}
+
+/** Servers of one service that queue requests. */
+struct PressureFake : ServicePressure {
+  bool isUnderPressure(ServiceId) const override { return true; }
+};
+
+TEST_CASE("under pressure others' word resets no flow, and passes over by lasting silence only",
+          "[shared_evidence]") {
+  Harness harness;
+  const PressureFake pressure;
+  harness.node.own.setPressure(&pressure);
+  harness.node.isAnswered(5);
+  harness.advance(200);
+  harness.node.isTold({5}, 2, 3, 2);
+  CHECK_FALSE(harness.node.suspects(5));
+  harness.advance(300);
+  CHECK(harness.node.suspects(5));
+  harness.advance(300);
+  CHECK_FALSE(harness.isDead(5));
+  harness.node.own.setPressure(nullptr);
+  CHECK(harness.isDead(5));
+}
+
+TEST_CASE("under pressure no open flow is reset for a zone out of reach", "[shared_evidence]") {
+  Harness harness;
+  const PressureFake pressure;
+  harness.node.own.setPressure(&pressure);
+  harness.node.isAnswered(11);
+  harness.advanceAnswered(300);
+  harness.node.loses(11);
+  harness.node.loses(11, 2);
+  harness.advanceAnswered(300);
+  harness.node.isTold({11, 12, 13}, 2, 2);
+  harness.advanceAnswered(250);
+  CHECK(harness.node.shared.isOutOfReach(BackendId(20)));
+  CHECK_FALSE(harness.isDead(20));
+}
+
 TEST_CASE("a digest that tells of fewer survived repetitions takes back no others' word",
           "[shared_evidence]") {
   Harness harness;
