Connect pressure and a node's own delay to the evidence of silence

Cause: the gates against false deaths had nobody to ask. Change: a service is under pressure where admission rejects or answers show two requests for each busy slot; what a node saw while its packets waited counts as nobody's silence; the most urgent class is never kept out for what open flows of others bring.

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -22,6 +22,9 @@
 constexpr Duration kComparisonInterval = milliseconds(500);
 /** Time between two moves of the limits on new flows: a small part of callers' targets. */
 constexpr Duration kLoadInterval = milliseconds(100);
+/** Requests present for each slot from which a server may be silent because it is full: a second
+ * waits behind each one then, and some servers have longer queues than others. */
+constexpr double kPressedFrom = 2;
 
 PlacementSettings placementSettingsOf(const PacketNodeSettings& settings) {
   PlacementSettings placement = settings.placement;
@@ -90,6 +93,7 @@
     placement_.setZoneDemand([this](ServiceId service) { return zone_demand_.demand(service); });
   }
   decider_.setAdmission(&load_control_);
+  silence_.setPressure(this);
 }
 
 void PacketNode::onBehind() {
@@ -142,6 +146,11 @@
   }
 }
 
+bool PacketNode::isUnderPressure(ServiceId service) const {
+  return load_control_.level(service) > 0 ||
+         load_control_.load(service).requestsPerBusySlot() >= kPressedFrom;
+}
+
 void PacketNode::onRequest(BackendId backend) {
   if (const Backend* known = decider_.configuration()->backend(backend)) {
     load_control_.onRequest(known->service);
--- a/src/balancer/packet_node.h
+++ b/src/balancer/packet_node.h
@@ -10,6 +10,7 @@
 #include "discovery/view_follower.h"
 #include "flow/evidence_reporter.h"
 #include "flow/packet_router.h"
+#include "flow/service_pressure.h"
 #include "load/load_control.h"
 #include "load/zone_demand.h"
 
@@ -79,7 +80,7 @@
  * One balancer for packets with compact tokens, without its sockets and clocks: follows the
  * platform's routes and servers and routes packets by them.
  */
-class PacketNode : private PacketRouterHost, private ViewFollowerHost {
+class PacketNode : private PacketRouterHost, private ViewFollowerHost, private ServicePressure {
  public:
   PacketNode(PacketNodeSettings settings, const PlatformLayout& layout, ItemSource& source,
              PacketSender& sender, Scheduler& scheduler, const TimeSource& time_source,
@@ -141,9 +142,6 @@
   SharedEvidence& sharedEvidence() { return evidence_; }
   const SharedEvidence& sharedEvidence() const { return evidence_; }
   EvidenceReporter& evidenceReporter() { return reporter_; }
-  /** Sets what tells of services under pressure, whose silence proves nothing; outlives this. */
-  void setPressure(const ServicePressure* pressure) { silence_.setPressure(pressure); }
-
   /**
    * To be called when this node was late: it stood still, or a packet has waited in its socket.
    * What it saw up to now counts as nobody's silence. Cheap, also for each packet.
@@ -182,6 +180,9 @@
   void onRequest(BackendId backend) override;
   void onResponse(BackendId backend, Duration duration, bool is_prompt) override;
 
+  // ServicePressure
+  bool isUnderPressure(ServiceId service) const override;
+
   // ViewFollowerHost
   void onItems(const std::vector<ItemChange>& changes) override;
   void onComplete(ViewOrigin origin) override;
--- a/src/load/admission_controller.cc
+++ b/src/load/admission_controller.cc
@@ -100,7 +100,10 @@
         state.pressure > 1 ? std::min(state.admitted_rate, most) : state.admitted_rate, least);
     const double excess = std::clamp((state.pressure + before) / 2 - 1, -1.0, 1.0);
     const double rate = std::max(state.admitted_rate * (1 - settings_.damping * excess), least);
-    state.level = levelFor(state.demand, rate, own_slots_rate);
+    // Open flows of other classes can't be rejected. What they bring leaves when servers turn it
+    // away; the most urgent class must not be kept out for it.
+    const double urgent_rate = std::max(requestsOfOwnSlots(input), input.load.requests_per_second);
+    state.level = levelFor(state.demand, rate, urgent_rate);
   }
 }
 
@@ -150,15 +153,19 @@
   }
 }
 
-double AdmissionController::ownSlotsRate(const State& state, const PressureInput& input) {
+double AdmissionController::requestsOfOwnSlots(const PressureInput& input) {
   const double service_s = inSeconds(input.load.service_time);
-  if (service_s <= 0 || state.admitted_demand <= 0) {
+  return service_s <= 0 ? 0 : input.usable_slots / service_s / input.balancers;
+}
+
+double AdmissionController::ownSlotsRate(const State& state, const PressureInput& input) {
+  if (state.admitted_demand <= 0) {
     return 0;
   }
   // Some callers send many requests on a flow.
   const double requests_of_flow =
       std::max(input.load.requests_per_second / state.admitted_demand, 1.0);
-  return input.usable_slots / service_s / input.balancers / requests_of_flow;
+  return requestsOfOwnSlots(input) / requests_of_flow;
 }
 
 double AdmissionController::levelFor(const Demand& demand, double admitted_rate,
--- a/src/load/admission_controller.h
+++ b/src/load/admission_controller.h
@@ -84,6 +84,8 @@
 
   void learnDemand(State& state, MonotonicTime now, double elapsed_s) const;
   void moveRate(State& state, const ServiceLoad& load, double elapsed_s) const;
+  /** @return requests a second that fill this balancer's part of the slots; 0 where unknown. */
+  static double requestsOfOwnSlots(const PressureInput& input);
   /** @return flows a second that fill this balancer's part of the slots; 0 where unknown. */
   static double ownSlotsRate(const State& state, const PressureInput& input);
   /** @param urgent_rate flows a second of the most urgent class that are never rejected. */
--- a/src/runtime/packet_daemon.cc
+++ b/src/runtime/packet_daemon.cc
@@ -284,6 +284,9 @@
   }
   receive_backlog_.onTurn(turn, batch_at_.value_or(handled_at_));
   batch_at_.reset();
+  if (receive_backlog_.evidenceIsStale(handled_at_)) {
+    node_.onBehind();
+  }
   onBehindChanged();
   const bool open_flows_wait = !turn.is_empty || !early_packets_.empty();
   serveEarlyPackets(DatagramReader::kMost);
--- a/tests/flow/overload_replay.h
+++ b/tests/flow/overload_replay.h
@@ -85,7 +85,8 @@
   bool asksOthers() const override { return ways.asks_others; }
   ViewStamp viewStamp() const override { return {}; }
   void onHandshake(Duration) override {}
-  void onResponse(BackendId, Duration) override {}
+  void onRequest(BackendId) override {}
+  void onResponse(BackendId, Duration, bool) override {}
   std::optional<DeathEvidence> deathByOthers(BackendId backend,
                                              std::uint16_t repetitions) const override {
     return ways.asks_others ? shared.deathOf(backend, repetitions) : std::nullopt;
