--- a/bench/data_path_bench.cc
+++ b/bench/data_path_bench.cc
@@ -134,7 +134,8 @@
   bool resetsDeadFlows() const override { return true; }
   ViewStamp viewStamp() const override { return {}; }
   void onHandshake(Duration) override {}
-  void onResponse(BackendId, Duration) override {}
+  void onRequest(BackendId) override {}
+  void onResponse(BackendId, Duration, ResponseTiming) override {}
 
   FlowPacket opening(Endpoint service = kServiceAddress) {
     FlowPacket packet;
