Count a service's slots once a second

Cause: each balancer walked all servers of a service ten times a second, 100,000 look-ups before 10,000 servers. Change: the count stands for a second.

--- a/src/load/admission_controller.cc
+++ b/src/load/admission_controller.cc
@@ -16,6 +16,9 @@
 /** Beyond the demand by so much, a limit of the rate means nothing any more. */
 constexpr double kBeyondDemand = 1.1;
 constexpr double kFullFrom = 0.5;
+/** Time after which slots are counted again: a service may have thousands of servers, of which a
+ * few come and go in a second. */
+constexpr Duration kSlotsLifetime = seconds(1);
 /** Part of the most urgent class's admitted flows that stays admitted at the next step where the
  * class alone brings more than the slots take. */
 constexpr double kUrgentStays = 0.5;
@@ -78,8 +81,12 @@
     if (policy_ == nullptr) {
       continue;
     }
+    if (state.slots_at == MonotonicTime() || now - state.slots_at >= kSlotsLifetime) {
+      state.usable_slots = usableSlots(configuration, service);
+      state.slots_at = now;
+    }
     PressureInput input{loads_.load(service),
-                        usableSlots(configuration, service),
+                        state.usable_slots,
                         static_cast<double>(std::max<std::size_t>(balancers, 1)),
                         {}};
     for (std::size_t index = 0; index < kPriorities; ++index) {
--- a/src/load/admission_controller.h
+++ b/src/load/admission_controller.h
@@ -78,6 +78,9 @@
     double admitted_rate = -1;
     double level = 0;
     double pressure = 0;
+    /** Slots of all servers that may get new flows, and when they were counted. */
+    double usable_slots = 0;
+    MonotonicTime slots_at;
     MonotonicTime ticked_at;
     bool is_learned = false;
   };
