Reject nothing for a full zone while servers elsewhere may have room

Change: answers of other zones' servers are timed apart; where they come clearly sooner, or too few were seen, there is no pressure.

--- a/src/balancer/packet_node.cc
+++ b/src/balancer/packet_node.cc
@@ -39,6 +39,12 @@
   return locality;
 }
 
+LoadControlSettings loadControlSettingsOf(const PacketNodeSettings& settings) {
+  LoadControlSettings load_control = settings.load_control;
+  load_control.admission.own_zone = settings.zone;
+  return load_control;
+}
+
 }  // namespace
 
 PacketNode::PacketNode(PacketNodeSettings settings, const PlatformLayout& layout,
@@ -61,7 +67,7 @@
       reporter_(EvidenceReporterSettings(), settings_.zone, silence_, evidence_, time_source),
       response_times_(settings_.response_times, time_source),
       locality_(localitySettingsOf(settings_), time_source, log),
-      load_control_(settings_.load_control, time_source, log),
+      load_control_(loadControlSettingsOf(settings_), time_source, log),
       zone_demand_(settings_.zone_demand, time_source),
       tokens_(settings_.token_key),
       router_(decider_, silence_, observer_, tokens_, sender, *this, log),
@@ -163,7 +169,10 @@
   if (const Backend* known = decider_.configuration()->backend(backend)) {
     placement_.onResponse(*known, duration);
     if (timing != ResponseTiming::Repeated) {
-      load_control_.onResponse(known->service, duration, timing == ResponseTiming::Prompt);
+      const Zone* own_zone = decider_.configuration()->zoneNamed(settings_.zone);
+      const bool is_elsewhere = own_zone != nullptr && known->zone != own_zone->id;
+      load_control_.onResponse(known->service, duration, timing == ResponseTiming::Prompt,
+                               is_elsewhere);
     }
   }
   if (on_response_) {
--- a/src/load/admission_controller.cc
+++ b/src/load/admission_controller.cc
@@ -48,6 +48,19 @@
   return slots;
 }
 
+bool hasServersElsewhere(const ConfigurationView& configuration, ServiceId service,
+                         const std::string& own_zone) {
+  const Zone* own = configuration.zoneNamed(own_zone);
+  const Service* known = configuration.service(service);
+  if (own == nullptr || known == nullptr) {
+    return false;
+  }
+  const std::vector<const Backend*>& backends = configuration.backendsOf(service);
+  return std::any_of(backends.begin(), backends.end(), [&](const Backend* backend) {
+    return backend->zone != own->id && known->allowsZone(backend->zone) && !backend->draining;
+  });
+}
+
 }  // namespace
 
 AdmissionController::AdmissionController(const AdmissionSettings& settings,
@@ -83,12 +96,15 @@
     }
     if (state.slots_at == MonotonicTime() || now - state.slots_at >= kSlotsLifetime) {
       state.usable_slots = usableSlots(configuration, service);
+      state.has_servers_elsewhere = hasServersElsewhere(configuration, service, settings_.own_zone);
       state.slots_at = now;
     }
     PressureInput input{loads_.load(service),
                         state.usable_slots,
                         static_cast<double>(std::max<std::size_t>(balancers, 1)),
-                        {}};
+                        {},
+                        state.has_servers_elsewhere,
+                        responseElsewhere(state, now)};
     for (std::size_t index = 0; index < kPriorities; ++index) {
       const Duration target = state.targets[index];
       const bool counts = state.demand[index] >= kLeastDemand && target.count() > 0;
@@ -97,7 +113,7 @@
       }
     }
     const double before = state.pressure;
-    state.pressure = policy_->pressure(input);
+    state.pressure = mayHaveRoomElsewhere(input) ? 0 : policy_->pressure(input);
     moveRate(state, input.load, elapsed_s);
     const double own_slots_rate = ownSlotsRate(state, input);
     if (state.admitted_rate < 0 || own_slots_rate <= 0) {
@@ -114,6 +130,28 @@
   }
 }
 
+void AdmissionController::onResponseElsewhere(ServiceId service, Duration duration) {
+  const MonotonicTime now = time_source_.monotonicTime();
+  State& state = states_[service];
+  const double kept = keptElsewhere(state, now);
+  state.answers_elsewhere = state.answers_elsewhere * kept + 1;
+  state.answers_elsewhere_s = state.answers_elsewhere_s * kept + inSeconds(duration);
+  state.elsewhere_at = now;
+}
+
+double AdmissionController::keptElsewhere(const State& state, MonotonicTime now) const {
+  return std::exp(-inSeconds(now - state.elsewhere_at) / inSeconds(settings_.elsewhere_memory));
+}
+
+Duration AdmissionController::responseElsewhere(const State& state, MonotonicTime now) const {
+  const double answers = state.answers_elsewhere * keptElsewhere(state, now);
+  if (answers < settings_.answers_elsewhere_needed) {
+    return Duration::zero();
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(state.answers_elsewhere_s / state.answers_elsewhere));
+}
+
 void AdmissionController::learnDemand(State& state, MonotonicTime now, double elapsed_s) const {
   const double kept =
       state.is_learned ? std::exp(-elapsed_s / inSeconds(settings_.demand_memory)) : 0;
--- a/src/load/admission_controller.h
+++ b/src/load/admission_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <string>
 #include <unordered_map>
 
 #include "load/admission_control.h"
@@ -34,6 +35,12 @@
    * seldom spread over balancers more unevenly, and full queues would hide a larger excess.
    */
   double largest_share = 1.5;
+  /** Zone of this balancer; empty where there are none. */
+  std::string own_zone = {};
+  /** Time for which answers of other zones' servers count: few flows leave the own zone. */
+  Duration elsewhere_memory = seconds(2);
+  /** Answers within it from which other zones are taken for as full as the own one. */
+  double answers_elsewhere_needed = 3;
 };
 
 /** Priorities that are told apart; callers of less urgent ones are treated like the last. */
@@ -53,6 +60,9 @@
   bool admits(const Service& service, const RequestClass& request_class,
               const FlowId& flow) override;
 
+  /** A server beyond the own zone has answered a request, that long after it began. */
+  void onResponseElsewhere(ServiceId service, Duration duration);
+
   /** Moves the levels; to be called each 100 ms. @param balancers that callers reach. */
   void tick(const ConfigurationView& configuration, std::size_t balancers);
 
@@ -81,10 +91,18 @@
     /** Slots of all servers that may get new flows, and when they were counted. */
     double usable_slots = 0;
     MonotonicTime slots_at;
+    bool has_servers_elsewhere = false;
+    /** Answers of other zones' servers and the sum of their times [s], which fade. */
+    double answers_elsewhere = 0;
+    double answers_elsewhere_s = 0;
+    MonotonicTime elsewhere_at;
     MonotonicTime ticked_at;
     bool is_learned = false;
   };
 
+  double keptElsewhere(const State& state, MonotonicTime now) const;
+  /** @return mean time of these answers; zero where too few were seen. */
+  Duration responseElsewhere(const State& state, MonotonicTime now) const;
   void learnDemand(State& state, MonotonicTime now, double elapsed_s) const;
   void moveRate(State& state, const ServiceLoad& load, double elapsed_s) const;
   /**
--- a/src/load/load_control.cc
+++ b/src/load/load_control.cc
@@ -35,7 +35,8 @@
   return is_admitted;
 }
 
-void LoadControl::onResponse(ServiceId service, Duration duration, bool is_prompt) {
+void LoadControl::onResponse(ServiceId service, Duration duration, bool is_prompt,
+                             bool is_elsewhere) {
   const MonotonicTime now = time_source_.monotonicTime();
   Record& record = records_[service];
   if (is_prompt) {
@@ -45,6 +46,9 @@
       record.prompt_at != MonotonicTime() && now - record.prompt_at <= settings_.prompt_memory;
   if (is_prompt || !knows_prompt) {
     estimator_.onResponse(service, duration);
+    if (is_elsewhere) {
+      controller_.onResponseElsewhere(service, duration);
+    }
   }
 }
 
--- a/src/load/load_control.h
+++ b/src/load/load_control.h
@@ -76,8 +76,10 @@
    * A caller has received the beginning of an answer, that long after it began to ask.
    * @param is_prompt whether the caller told it at once: where some do, only those count, since the
    * others' delay would look like a queue.
+   * @param is_elsewhere whether the server stands beyond the own zone.
    */
-  void onResponse(ServiceId service, Duration duration, bool is_prompt = true);
+  void onResponse(ServiceId service, Duration duration, bool is_prompt = true,
+                  bool is_elsewhere = false);
 
   /**
    * Moves the levels; to be called each 100 ms.
--- a/src/load/policy/pressure_policy.cc
+++ b/src/load/policy/pressure_policy.cc
@@ -18,6 +18,17 @@
   return std::clamp(1 + waits, settings.least_requests_per_slot, settings.requests_per_slot);
 }
 
+bool mayHaveRoomElsewhere(const PressureInput& input) {
+  // Queues that are as full differ by less; a zone that has room answers in half of the time.
+  constexpr double kClearlySooner = 0.7;
+  if (!input.has_servers_elsewhere) {
+    return false;
+  }
+  const std::chrono::duration<double> here = input.load.response_time;
+  const std::chrono::duration<double> elsewhere = input.response_elsewhere;
+  return elsewhere.count() <= 0 || elsewhere < kClearlySooner * here;
+}
+
 std::unique_ptr<PressurePolicy> makePressurePolicy(std::string_view name,
                                                    const PressureSettings& settings) {
   if (name == "in_flight") {
--- a/src/load/policy/pressure_policy.h
+++ b/src/load/policy/pressure_policy.h
@@ -16,8 +16,18 @@
   double balancers = 1;
   /** Smallest target of the classes that ask for the service; zero where none is told. */
   Duration smallest_target{};
+  /** The service has servers beyond the own zone; typical time of their answers, zero for unknown.
+   */
+  bool has_servers_elsewhere = false;
+  Duration response_elsewhere{};
 };
 
+/**
+ * @return true where servers beyond the own zone may have free slots: they answer clearly sooner,
+ * or too few of their answers were seen. Flows then leave the zone, and none need be rejected.
+ */
+bool mayHaveRoomElsewhere(const PressureInput& input);
+
 /** Limits of a PressurePolicy. */
 struct PressureSettings {
   /**
--- a/tests/load/admission_controller_test.cc
+++ b/tests/load/admission_controller_test.cc
@@ -87,6 +87,18 @@
   CHECK(harness.level() == Approx(1));
 }
 
+TEST_CASE("Nothing is rejected for a full zone while servers of another may have room") {
+  PressureInput input;
+  input.load.response_time = milliseconds(90);
+  CHECK_FALSE(mayHaveRoomElsewhere(input));
+  input.has_servers_elsewhere = true;
+  CHECK(mayHaveRoomElsewhere(input));
+  input.response_elsewhere = milliseconds(30);
+  CHECK(mayHaveRoomElsewhere(input));
+  input.response_elsewhere = milliseconds(80);
+  CHECK_FALSE(mayHaveRoomElsewhere(input));
+}
+
 TEST_CASE("A level falls to zero within two seconds once the load has gone or isn't known") {
   ControllerHarness harness;
   harness.pressure = 3;
