--- a/tests/flow/overload_replay.h
+++ b/tests/flow/overload_replay.h
@@ -158,7 +158,8 @@
     const double cycle = std::chrono::duration<double>(kWork + kThink).count();
     flows_.resize(static_cast<std::size_t>(requests_a_second * cycle));
     for (std::size_t index = 0; index < flows_.size(); ++index) {
-      const bool is_usual = load * static_cast<double>(index) < usual * flows_.size();
+      const bool is_usual =
+          load * static_cast<double>(index) < usual * static_cast<double>(flows_.size());
       after(scaled(kThink) + (is_usual ? Duration::zero() : kRush),
             [this, &flow = flows_[index]] { open(flow); });
     }
