--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,7 +22,7 @@
         7, {ROUTE: "listen", ("198.18.0.2", 8443): "archive"}, ["listen", "archive"]))
     for index in range(OTHER_SERVERS):
         world.store.put(f"servers/i-{index + 1:08x}", (
-            '{"service":"archive","address":"127.40.%d.%d:8080","zone":"lac","version":"v1",'
+            '{"service":"archive","address":"127.9.%d.%d:8080","zone":"lac","version":"v1",'
             '"capacity":2,"state":"ready","warmup_left_ms":0,"seq":1}'
             % (index // 250, index % 250 + 1)))
     for index in range(5):
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -20,7 +20,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 import zlib
 from base64 import b64encode
@@ -647,8 +646,8 @@
 
 
 def find_run_command():
-    with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
-        command = tomllib.load(f)["roles"]["balancer"]["run"].split(" ")
+    with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as f:
+        command = re.search(r'^run = "(.+)"$', f.read(), re.M).group(1).split(" ")
     if not os.path.exists(os.path.join(ROOT, command[0])):
         built = os.path.join("build", os.path.basename(command[0]))
         if not os.path.exists(os.path.join(ROOT, built)):
@@ -682,7 +681,8 @@
         self.record = Record(case_folder)
         self.folder = tempfile.mkdtemp(prefix="lugfork-review-")
         self.run_command = find_run_command()
-        self.net = random.randrange(1, 250)
+        # Addresses of this run's own, so that runs side by side don't meet.
+        self.net = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}"
         self.link_mbps = link_mbps
         self.bounds = dict(BOUNDS, **(bounds or {}))
         node_ips = [self.node_ip(index) for index in range(12)]
@@ -701,13 +701,13 @@
         return self.bounds[name] / 1000
 
     def node_ip(self, index):
-        return f"127.10.{self.net}.{index + 1}"
+        return f"{self.net}.{index + 1}"
 
     def client_ip(self, index):
-        return f"127.20.{self.net}.{index + 1}"
+        return f"{self.net}.{index + 101}"
 
     def server_ip(self, index):
-        return f"127.30.{self.net}.{index + 1}"
+        return f"{self.net}.{index + 151}"
 
     async def add_server(self, number, service, zone, ip=None):
         server = Server(self, number, service, zone, ip or self.server_ip(len(self.servers)))
