--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -725,8 +725,10 @@
             print(f"could not run: {problem!r}")
             return 2
         finally:
-            for task in world.tasks:
-                task.cancel()
             world.finish()
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     sys.exit(asyncio.run(main()))
