--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,7 +16,7 @@
 LINK_MBPS = 10.0
 DEAF_S = 1.0              # "watches hear nothing for a second while changes are made"
 SERVES_ON_S = 15          # after drain_ms, "at times many seconds"
-LEAVING = "i-20000001"
+LEAVING = "i-10000001"
 
 
 async def play(world):
@@ -64,7 +64,7 @@
     client = Client(world, f"127.64.{world.net}.1", "lac")
     calls = []
     while now() < drained_at + DRAIN_S + SERVES_ON_S - 2:
-        calls.append(asyncio.create_task(client.call(8444, f"a{len(calls) + 1}")))
+        calls.append(asyncio.create_task(client.call(8443, f"a{len(calls) + 1}")))
         await asyncio.sleep(0.1)
     outcomes = await asyncio.gather(*calls)
     leaving.end()
